--- /dev/null
+++ b/crates/config/src/patch.rs
@@ -0,0 +1,116 @@
+//! Patches against a numbered configuration.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::Change;
+use crate::Declared;
+
+/// Accepted patches that the configuration remembers.
+const HISTORY_LENGTH: usize = 20;
+
+/// A change of the declared configuration by JSON merge patch (RFC 7396).
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Patch {
+    /// Number of the configuration that the patch was written against.
+    pub base: u64,
+    /// Identifier chosen by the writer, for recognizing a repeated patch.
+    pub writer: String,
+    /// The merge patch; it may hold `services` and `workspaces`.
+    pub change: Value,
+}
+
+/// Why a patch is refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PatchError {
+    /// The base is not the current number, which is given.
+    Outdated(u64),
+    /// The result would not be a valid configuration.
+    Invalid(String),
+}
+
+impl fmt::Display for PatchError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Outdated(number) => {
+                write!(
+                    f,
+                    "the patch's base is outdated; the current number is {number}"
+                )
+            }
+            Self::Invalid(reason) => write!(f, "the patched configuration is invalid: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for PatchError {}
+
+impl Patch {
+    /// Whether `current` already contains this patch, as it does when the
+    /// answer to the write was lost.
+    pub fn is_applied(&self, current: &Declared) -> bool {
+        current
+            .history
+            .iter()
+            .any(|change| change.writer == self.writer)
+    }
+
+    /// Applies the patch to `current` at `time` seconds since the epoch.
+    pub fn apply(&self, current: &Declared, time: u64) -> Result<Declared, PatchError> {
+        if self.base != current.number {
+            return Err(PatchError::Outdated(current.number));
+        }
+        let Value::Object(members) = &self.change else {
+            return Err(PatchError::Invalid("the patch is not a JSON object".into()));
+        };
+        if let Some(key) = members.keys().find(|key| !is_patchable(key)) {
+            return Err(PatchError::Invalid(format!(
+                "{key}: accepted are services and workspaces"
+            )));
+        }
+        let mut value = serde_json::to_value(current).expect("configuration serializes");
+        merge(&mut value, &self.change);
+        let mut next: Declared = serde_json::from_value(value)
+            .map_err(|cause| PatchError::Invalid(cause.to_string()))?;
+        if let Some(problem) = next.problem() {
+            return Err(PatchError::Invalid(problem));
+        }
+        next.number = current.number + 1;
+        next.writer.clone_from(&self.writer);
+        next.history.push(Change {
+            number: next.number,
+            writer: self.writer.clone(),
+            time,
+            patch: self.change.clone(),
+        });
+        let excess = next.history.len().saturating_sub(HISTORY_LENGTH);
+        next.history.drain(..excess);
+        Ok(next)
+    }
+}
+
+fn is_patchable(key: &str) -> bool {
+    matches!(key, "services" | "workspaces")
+}
+
+fn merge(target: &mut Value, patch: &Value) {
+    let Value::Object(changes) = patch else {
+        *target = patch.clone();
+        return;
+    };
+    if !target.is_object() {
+        *target = Value::Object(serde_json::Map::new());
+    }
+    let members = target.as_object_mut().expect("target was made an object");
+    for (key, change) in changes {
+        if change.is_null() {
+            members.remove(key);
+        } else {
+            merge(members.entry(key.clone()).or_insert(Value::Null), change);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,99 @@
+//! Calls of an entry's operator API.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use lycheehaven_net::Caller;
+use lycheehaven_net::Reply;
+use serde_json::Value;
+
+use crate::output::ExitCode;
+
+/// Timeout of one call.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Why a command failed, and the exit code for it.
+#[derive(Debug)]
+pub(crate) struct CtlError {
+    pub(crate) code: ExitCode,
+    pub(crate) message: String,
+}
+
+impl CtlError {
+    pub(crate) fn new(code: ExitCode, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+        }
+    }
+
+    pub(crate) fn usage(message: impl Into<String>) -> Self {
+        Self::new(ExitCode::Usage, message)
+    }
+}
+
+/// Client of the entries' operator API; tries one entry after another.
+#[derive(Debug)]
+pub(crate) struct Client {
+    caller: Caller,
+    entries: Vec<SocketAddr>,
+}
+
+impl Client {
+    pub(crate) fn new(entries: Vec<SocketAddr>, key: &str) -> Self {
+        let caller = Caller::new().with_header("authorization", format!("Bearer {key}"));
+        Self { caller, entries }
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Result<Value, CtlError> {
+        self.call(Method::GET, path, Vec::new()).await
+    }
+
+    pub(crate) async fn post(&self, path: &str, body: &Value) -> Result<Value, CtlError> {
+        let body = serde_json::to_vec(body).expect("JSON serializes");
+        self.call(Method::POST, path, body).await
+    }
+
+    /// Every call may go to the next entry after a failure: reads change
+    /// nothing, and a repeated patch is recognized by its writer.
+    async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Value, CtlError> {
+        let mut last = CtlError::usage("no entry address is given");
+        for addr in &self.entries {
+            let reply = self
+                .caller
+                .call(method.clone(), *addr, path, body.clone(), TIMEOUT)
+                .await;
+            match reply {
+                Ok(reply) if reply.status == 503 || reply.status == 504 => last = refused(&reply),
+                Ok(reply) => return decode(&reply),
+                Err(cause) => {
+                    last = CtlError::new(ExitCode::NoAnswer, format!("{addr}: {cause}"));
+                }
+            }
+        }
+        Err(last)
+    }
+}
+
+fn decode(reply: &Reply) -> Result<Value, CtlError> {
+    if !reply.is_success() {
+        return Err(refused(reply));
+    }
+    reply
+        .json()
+        .map_err(|cause| CtlError::new(ExitCode::NoAnswer, cause.to_string()))
+}
+
+fn refused(reply: &Reply) -> CtlError {
+    let body: Value = reply.json().unwrap_or_default();
+    let error = &body["error"];
+    let kind = error["kind"].as_str().unwrap_or("error");
+    let message = error["message"].as_str().unwrap_or("no message");
+    let code = if error["outcome"] == "unknown" {
+        ExitCode::NoAnswer
+    } else {
+        ExitCode::Refused
+    };
+    CtlError::new(code, format!("{kind}: {message}"))
+}
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,143 @@
+//! Parsing of the command line.
+
+use std::net::SocketAddr;
+
+use getopts::Matches;
+use getopts::Options;
+
+use crate::client::Client;
+use crate::client::CtlError;
+use crate::config_cmd;
+use crate::output;
+use crate::output::ExitCode;
+use crate::show;
+
+const USAGE: &str = "\
+Usage: lycheectl [OPTIONS] COMMAND
+
+Commands:
+  config get                      print the configuration in force
+  config patch --base N FILE      apply a JSON merge patch (FILE - reads standard input)
+  config history                  list the accepted patches
+  status                          show the entry and its peers
+  vms                             list VMs and their load
+  drain                           stop the entry after its requests
+  explain REQUEST                 show the decisions about a request
+  key                             print a new idempotency key";
+
+const ENTRY_VARIABLE: &str = "LYCHEEHAVEN_ENTRY";
+const KEY_VARIABLE: &str = "LYCHEEHAVEN_OPERATOR_KEY";
+
+/// What applies to every command.
+pub(crate) struct Context {
+    pub(crate) client: Client,
+    pub(crate) json: bool,
+    pub(crate) base: Option<u64>,
+    pub(crate) writer: Option<String>,
+}
+
+/// Runs the command of `args` (without the program's name).
+pub async fn run(args: &[String]) -> ExitCode {
+    match try_run(args).await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("lycheectl: {}", error.message);
+            error.code
+        }
+    }
+}
+
+async fn try_run(args: &[String]) -> Result<ExitCode, CtlError> {
+    let options = options();
+    let matches = options
+        .parse(args)
+        .map_err(|cause| CtlError::usage(cause.to_string()))?;
+    if matches.opt_present("help") {
+        output::line(options.usage(USAGE).trim_end());
+        return Ok(ExitCode::Done);
+    }
+    if matches.opt_present("version") {
+        output::line(concat!("lycheectl ", env!("CARGO_PKG_VERSION")));
+        return Ok(ExitCode::Done);
+    }
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        [] => Err(CtlError::usage(format!("a command is needed\n{USAGE}"))),
+        ["key"] => {
+            output::line(uuid::Uuid::now_v7().to_string());
+            Ok(ExitCode::Done)
+        }
+        ["config", "get"] => config_cmd::get(&context(&matches)?).await,
+        ["config", "patch", file] => config_cmd::patch(&context(&matches)?, file).await,
+        ["config", "history"] => config_cmd::history(&context(&matches)?).await,
+        ["status"] => show::status(&context(&matches)?).await,
+        ["vms"] => show::vms(&context(&matches)?).await,
+        ["drain"] => show::drain(&context(&matches)?).await,
+        ["explain", request] => show::explain(&context(&matches)?, request).await,
+        _ => Err(CtlError::usage(format!(
+            "unknown command: {}\n{USAGE}",
+            words.join(" ")
+        ))),
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optmulti(
+        "e",
+        "entry",
+        "address of an entry; may be repeated",
+        "ADDRESS",
+    );
+    options.optopt("k", "key", "the operators' key", "KEY");
+    options.optopt(
+        "b",
+        "base",
+        "number that the patch was written against",
+        "N",
+    );
+    options.optopt(
+        "w",
+        "writer",
+        "identifier of the patch, to repeat it safely",
+        "ID",
+    );
+    options.optflag("j", "json", "print JSON");
+    options.optflag("v", "version", "print the version");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+fn context(matches: &Matches) -> Result<Context, CtlError> {
+    let given = matches.opt_strs("entry");
+    let texts = match std::env::var(ENTRY_VARIABLE) {
+        Ok(value) if given.is_empty() => value.split(',').map(str::to_owned).collect(),
+        _ => given,
+    };
+    let entries: Result<Vec<SocketAddr>, CtlError> = texts
+        .iter()
+        .map(|text| {
+            text.parse()
+                .map_err(|_| CtlError::usage(format!("{text}: not an address")))
+        })
+        .collect();
+    let entries = entries?;
+    if entries.is_empty() {
+        return Err(CtlError::usage(format!(
+            "give --entry or set {ENTRY_VARIABLE}"
+        )));
+    }
+    let key = matches
+        .opt_str("key")
+        .or_else(|| std::env::var(KEY_VARIABLE).ok());
+    let key = key.ok_or_else(|| CtlError::usage(format!("give --key or set {KEY_VARIABLE}")))?;
+    let base = matches
+        .opt_get("base")
+        .map_err(|_| CtlError::usage("--base: not a number"))?;
+    Ok(Context {
+        client: Client::new(entries, &key),
+        json: matches.opt_present("json"),
+        base,
+        writer: matches.opt_str("writer"),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/admin.rs
@@ -0,0 +1,131 @@
+//! The operators' API.
+
+use std::rc::Rc;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use lycheehaven_config::Patch;
+use lycheehaven_net::Body;
+use lycheehaven_net::json_response;
+use lycheehaven_net::read_body;
+use lycheehaven_types::ErrorKind;
+use lycheehaven_types::Failure;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::complete::BODY_WAIT;
+use crate::config_store;
+use crate::front::bearer;
+use crate::node::Node;
+
+/// Largest patch.
+const PATCH_LIMIT: usize = 512 * 1024;
+
+/// Prefix of asking for the decisions about a request.
+const EXPLAIN_PREFIX: &str = "/admin/explain/";
+
+/// Answers one request of an operator.
+pub(crate) async fn handle(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    if bearer(&request) != Some(node.settings.operator_key.as_str()) {
+        return Err(Failure::new(
+            ErrorKind::Unauthorized,
+            "the operator key is unknown",
+        ));
+    }
+    let path = request.uri().path().to_owned();
+    if let Some(id) = path.strip_prefix(EXPLAIN_PREFIX) {
+        return Ok(json_response(200, &node.decisions.about(id)));
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/admin/config") => Ok(json_response(200, &*node.declared())),
+        (&Method::POST, "/admin/config") => patch(node, request).await,
+        (&Method::GET, "/admin/status") => Ok(json_response(200, &status(node))),
+        (&Method::GET, "/admin/vms") => Ok(json_response(200, &vms(node))),
+        (&Method::POST, "/admin/drain") => {
+            node.draining.set(true);
+            node.drain.notify_waiters();
+            Ok(json_response(202, &json!({"draining": true})))
+        }
+        (_, "/admin/config" | "/admin/status" | "/admin/vms" | "/admin/drain") => Err(
+            Failure::new(ErrorKind::MethodNotAllowed, "no such method on this path"),
+        ),
+        _ => Err(Failure::new(
+            ErrorKind::NotFound,
+            format!("no such path: {path}"),
+        )),
+    }
+}
+
+async fn patch(node: &Rc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
+    let body = read_body(request.into_body(), PATCH_LIMIT, BODY_WAIT).await?;
+    let patch: Patch = serde_json::from_slice(&body)
+        .map_err(|cause| Failure::new(ErrorKind::BadRequest, format!("bad patch: {cause}")))?;
+    if patch.writer.is_empty() || patch.writer.len() > 128 {
+        let message = "writer: accepted are 1 to 128 characters, unique to this patch";
+        return Err(Failure::new(ErrorKind::BadRequest, message));
+    }
+    let declared = config_store::patch(node, &patch).await?;
+    let number = declared
+        .history
+        .iter()
+        .find(|change| change.writer == patch.writer);
+    let number = number.map_or(declared.number, |change| change.number);
+    Ok(json_response(200, &json!({"number": number})))
+}
+
+fn status(node: &Node) -> Value {
+    let now = node.now();
+    let peers = node.peers.borrow();
+    let alive = peers.alive(now);
+    let members: Vec<Value> = alive
+        .iter()
+        .map(|member| {
+            json!({
+                "name": member.digest.name,
+                "domain": member.digest.domain,
+                "leaving": member.digest.leaving,
+                "heard_ms": now.duration_since(member.heard).as_millis() as u64,
+            })
+        })
+        .collect();
+    json!({
+        "name": node.settings.name,
+        "domain": node.settings.domain,
+        "region": node.settings.region,
+        "version": env!("CARGO_PKG_VERSION"),
+        "ready": node.ready.get() && !node.draining.get(),
+        "draining": node.draining.get(),
+        "config": node.declared().number,
+        "requests": node.records.borrow().len(),
+        "open": node.limiter.borrow().open(),
+        "replicas": node.replicas.borrow().len(),
+        "peers": members,
+    })
+}
+
+fn vms(node: &Node) -> Vec<Value> {
+    let table = node.table.borrow();
+    let leaving = node.leaving.borrow();
+    let vms = node.vms.borrow();
+    let rows = vms.iter().map(|vm| {
+        let upstream = table.get(&vm.name);
+        json!({
+            "name": vm.name,
+            "incarnation": vm.incarnation,
+            "domain": vm.domain,
+            "class": vm.class,
+            "service": vm.service,
+            "addr": vm.addr,
+            "leaving": leaving.contains(&vm.name, vm.incarnation),
+            "open": upstream.map(|upstream| upstream.open),
+            "running": upstream.and_then(|u| u.load).map(|load| load.running),
+            "waiting": upstream.and_then(|u| u.load).map(|load| load.waiting),
+        })
+    });
+    rows.collect()
+}
--- /dev/null
+++ b/crates/entry/src/config_store.rs
@@ -0,0 +1,95 @@
+//! The declared configuration in the platform.
+
+use lycheehaven_config::Declared;
+use lycheehaven_config::Patch;
+use lycheehaven_config::PatchError;
+use lycheehaven_platform::Condition;
+use lycheehaven_platform::Object;
+use lycheehaven_platform::PutOutcome;
+use lycheehaven_platform::Unreachable;
+use lycheehaven_platform::Version;
+use lycheehaven_types::ErrorKind;
+use lycheehaven_types::Failure;
+
+use crate::metrics::kind;
+use crate::node::Node;
+
+/// Key of the configuration object.
+pub(crate) const CONFIG_KEY: &str = "config";
+
+/// Writes tried before a patch's fate is reported as uncertain.
+const WRITE_LIMIT: u32 = 4;
+
+/// Reads the configuration; `None` before the first patch.
+pub(crate) async fn read(node: &Node) -> Result<Option<(Declared, Version)>, Unreachable> {
+    node.metrics
+        .platform_calls
+        .get_or_create(&kind("read"))
+        .inc();
+    match node.objects.get(CONFIG_KEY).await? {
+        Some(object) => decode(&object).map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Decodes the configuration object.
+pub(crate) fn decode(object: &Object) -> Result<(Declared, Version), Unreachable> {
+    let declared = serde_json::from_slice(&object.body)
+        .map_err(|cause| Unreachable(format!("unreadable configuration: {cause}")))?;
+    Ok((declared, object.version))
+}
+
+/// Applies a patch to the configuration in the platform. A write whose answer
+/// is lost is recognized by the patch's writer, and repeated under the same
+/// condition, so that it takes effect at most once.
+pub(crate) async fn patch(node: &Node, patch: &Patch) -> Result<Declared, Failure> {
+    let mut uncertain = false;
+    for _ in 0..WRITE_LIMIT {
+        let current = read(node)
+            .await
+            .map_err(|cause| unreachable_failure(&cause, uncertain))?;
+        let (declared, condition) = match current {
+            Some((declared, version)) => (declared, Condition::At(version)),
+            None => (Declared::default(), Condition::Absent),
+        };
+        if patch.is_applied(&declared) {
+            node.adopt_config(declared.clone());
+            return Ok(declared);
+        }
+        let next = patch
+            .apply(&declared, node.wall_millis() / 1000)
+            .map_err(refused)?;
+        let body = serde_json::to_vec(&next).expect("configuration serializes");
+        node.metrics
+            .platform_calls
+            .get_or_create(&kind("write"))
+            .inc();
+        match node.objects.put(CONFIG_KEY, condition, body).await {
+            PutOutcome::Written(_) => {
+                node.adopt_config(next.clone());
+                return Ok(next);
+            }
+            PutOutcome::Conflict => {}
+            PutOutcome::Uncertain => uncertain = true,
+        }
+    }
+    let message = "the platform does not say whether the patch took effect";
+    Err(Failure::new(ErrorKind::PlatformUncertain, message))
+}
+
+fn unreachable_failure(cause: &Unreachable, uncertain: bool) -> Failure {
+    let kind = if uncertain {
+        ErrorKind::PlatformUncertain
+    } else {
+        ErrorKind::PlatformUnavailable
+    };
+    Failure::new(kind, cause.to_string())
+}
+
+fn refused(error: PatchError) -> Failure {
+    let kind = match error {
+        PatchError::Outdated(_) => ErrorKind::ConfigConflict,
+        PatchError::Invalid(_) => ErrorKind::BadRequest,
+    };
+    Failure::new(kind, error.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,123 @@
+//! Start, loops and end of the daemon.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use eyre::Context;
+use eyre::Result;
+use log::LevelFilter;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::config::Appender;
+use log4rs::config::Root;
+use log4rs::encode::json::JsonEncoder;
+use lycheehaven_config::Settings;
+use lycheehaven_net::ServerLimits;
+use lycheehaven_net::serve;
+use lycheehaven_types::SystemClock;
+use tokio_util::sync::CancellationToken;
+
+use crate::boot;
+use crate::exchange;
+use crate::front;
+use crate::handover;
+use crate::load;
+use crate::node::Node;
+use crate::node::spawn;
+use crate::peer_api;
+use crate::plain;
+use crate::replicate;
+use crate::watch;
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Starts logging as JSON lines to standard output.
+pub fn start_logging(level: LevelFilter) -> Result<()> {
+    let appender = ConsoleAppender::builder()
+        .encoder(Box::new(JsonEncoder::new()))
+        .build();
+    let config = log4rs::Config::builder()
+        .appender(Appender::builder().build("out", Box::new(appender)))
+        .build(Root::builder().appender("out").build(level))
+        .wrap_err("building the log configuration")?;
+    log4rs::init_config(config).wrap_err("starting logging")?;
+    Ok(())
+}
+
+/// Runs an entry until it is told to stop and has handed its requests over.
+pub async fn run(settings: Settings) -> Result<()> {
+    let front = bind(settings.listen).await.wrap_err("listen")?;
+    let peer = bind(settings.peer_listen).await.wrap_err("peer_listen")?;
+    let listen = front.local_addr()?;
+    let peer_addr = peer.local_addr()?;
+    let node = Node::new(settings, peer_addr, Rc::new(SystemClock));
+    log::info!(
+        target: "lycheehaven",
+        name = &*node.settings.name,
+        listen = listen.to_string().as_str(),
+        peer_listen = peer_addr.to_string().as_str();
+        "listening"
+    );
+    // Callers' connections end when the entry stops accepting, those of peers
+    // only with the process.
+    let accepting = CancellationToken::new();
+    let limits = ServerLimits::default();
+    let handler = node.clone();
+    let front_server = serve(front, limits, accepting.clone(), move |request| {
+        let node = handler.clone();
+        async move { front::handle(node, request).await }
+    });
+    spawn(front_server);
+    let handler = node.clone();
+    let peer_server = serve(peer, limits, node.stop.clone(), move |request| {
+        let node = handler.clone();
+        async move { peer_api::handle(node, request).await }
+    });
+    spawn(peer_server);
+    spawn_signals(&node);
+    spawn(start_loops(node.clone()));
+    handover::wait_and_drain(&node, &accepting).await;
+    node.stop.cancel();
+    log::info!(target: "lycheehaven", "stopped");
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .wrap_err_with(|| format!("can't listen on {addr}"))
+}
+
+async fn start_loops(node: Rc<Node>) {
+    boot::boot(&node).await;
+    spawn(watch::follow_config(node.clone()));
+    spawn(watch::follow_vms(node.clone()));
+    spawn(watch::follow_notices(node.clone()));
+    spawn(exchange::run(node.clone()));
+    spawn(load::run(node.clone()));
+    spawn(replicate::collect_garbage(node.clone()));
+    spawn(plain::collect_claims(node.clone()));
+    // The first exchange and load reports make the first decisions better, but
+    // nothing depends on them.
+    node.ready.set(true);
+    log::info!(target: "lycheehaven", config = node.declared().number; "ready");
+}
+
+fn spawn_signals(node: &Rc<Node>) {
+    for signal in [SIGINT, SIGTERM] {
+        let node = node.clone();
+        spawn(async move {
+            loop {
+                if compio::signal::unix::signal(signal).await.is_err() {
+                    return;
+                }
+                if node.draining.replace(true) {
+                    // A second signal ends the wait for streams to finish.
+                    node.handing_over.set(true);
+                }
+                node.drain.notify_waiters();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/decisions.rs
@@ -0,0 +1,107 @@
+//! Log lines of decisions, and the latest of them for `explain`.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+
+use lycheehaven_routing::Choice;
+use lycheehaven_types::Name;
+use serde::Serialize;
+
+/// Decisions remembered for `explain`.
+const KEEP: usize = 2000;
+
+/// One decision about a request or a VM.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Decision {
+    /// Milliseconds since the Unix epoch.
+    pub(crate) time: u64,
+    /// What kind of decision.
+    pub(crate) action: &'static str,
+    /// Request or VM that it is about.
+    pub(crate) subject: String,
+    /// What was chosen.
+    pub(crate) choice: String,
+    /// Why.
+    pub(crate) reason: String,
+    /// Candidates with their scores.
+    pub(crate) candidates: Vec<CandidateScore>,
+}
+
+/// A candidate of a decision.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct CandidateScore {
+    pub(crate) vm: Name,
+    pub(crate) score: f64,
+    pub(crate) cached: u64,
+}
+
+/// The latest decisions.
+#[derive(Debug, Default)]
+pub(crate) struct Decisions {
+    latest: RefCell<VecDeque<Decision>>,
+}
+
+impl Decisions {
+    /// Logs and remembers a routing decision.
+    pub(crate) fn route(&self, time: u64, subject: &str, choice: &Choice) {
+        let candidates = choice.candidates.iter().map(|scored| CandidateScore {
+            vm: scored.vm.clone(),
+            score: (scored.score * 100.0).round() / 100.0,
+            cached: scored.cached,
+        });
+        self.add(Decision {
+            time,
+            action: "route",
+            subject: subject.to_owned(),
+            choice: choice.vm.to_string(),
+            reason: choice.reason.name().to_owned(),
+            candidates: candidates.collect(),
+        });
+    }
+
+    /// Logs and remembers a decision without candidates.
+    pub(crate) fn note(
+        &self,
+        time: u64,
+        action: &'static str,
+        subject: &str,
+        choice: &str,
+        reason: impl Into<String>,
+    ) {
+        self.add(Decision {
+            time,
+            action,
+            subject: subject.to_owned(),
+            choice: choice.to_owned(),
+            reason: reason.into(),
+            candidates: Vec::new(),
+        });
+    }
+
+    /// The remembered decisions about `subject`, oldest first.
+    pub(crate) fn about(&self, subject: &str) -> Vec<Decision> {
+        let latest = self.latest.borrow();
+        latest
+            .iter()
+            .filter(|decision| decision.subject == subject)
+            .cloned()
+            .collect()
+    }
+
+    fn add(&self, decision: Decision) {
+        log::info!(
+            target: "decision",
+            action = decision.action,
+            request = decision.subject.as_str(),
+            choice = decision.choice.as_str(),
+            reason = decision.reason.as_str(),
+            candidates:serde = decision.candidates;
+            "decision"
+        );
+        let mut latest = self.latest.borrow_mut();
+        latest.push_back(decision);
+        if latest.len() > KEEP {
+            latest.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/evacuate.rs
@@ -0,0 +1,200 @@
+//! Emptying of upstreams that leave.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use lycheehaven_config::EvacuationPolicy;
+use lycheehaven_routing::Query;
+use lycheehaven_streams::Candidate;
+use lycheehaven_streams::EvacuationInput;
+use lycheehaven_streams::Move;
+use lycheehaven_streams::plan_evacuation;
+use lycheehaven_types::Incarnation;
+use lycheehaven_types::Name;
+use lycheehaven_upstream::protocol::ImportOrder;
+use lycheehaven_upstream::protocol::prefix_blocks;
+use lycheehaven_upstream::protocol::prompt_text;
+
+use crate::metrics::kind;
+use crate::node::Node;
+use crate::node::spawn;
+use crate::peer_client;
+use crate::record::Record;
+use crate::wire::LeavingNews;
+
+/// Quantile of the learned lengths that a rest is planned by.
+const REST_QUANTILE: f64 = 0.7;
+
+/// KV cache tokens that a link moves in a millisecond where no engine says.
+const DEFAULT_LINK_RATE: f64 = 20.0;
+
+/// Step time where no report says otherwise.
+const DEFAULT_STEP: Duration = Duration::from_millis(30);
+
+/// Share of the notice that one import may take.
+const IMPORT_SHARE: f64 = 0.8;
+
+/// Makes it known that a VM is leaving, to this entry and its peers, and
+/// empties it. Repeated news is ignored.
+pub(crate) fn on_leaving(node: &Rc<Node>, vm: &Name, incarnation: Incarnation, left: Duration) {
+    let news = node.leaving.borrow_mut().add(vm, incarnation, node.now());
+    if !news {
+        return;
+    }
+    log::info!(target: "leaving", vm = &**vm, left_ms = left.as_millis() as u64; "VM is leaving");
+    node.table.borrow_mut().mark_leaving(vm, incarnation);
+    tell_peers(node, vm, incarnation, left);
+    let own = *node.settings.name == **vm
+        && node
+            .vms
+            .borrow()
+            .iter()
+            .any(|v| v.name == *vm && v.incarnation == incarnation);
+    if own {
+        node.reclaim_at.set(Some(node.now() + left));
+        node.draining.set(true);
+        node.drain.notify_waiters();
+        return;
+    }
+    evacuate(node, vm, left);
+}
+
+fn tell_peers(node: &Rc<Node>, vm: &Name, incarnation: Incarnation, left: Duration) {
+    let left_ms = left.as_millis() as u64;
+    let news = vec![LeavingNews {
+        vm: vm.clone(),
+        incarnation,
+        left_ms,
+    }];
+    for (_, addr) in peer_client::live_addresses(node) {
+        let (node, news) = (node.clone(), news.clone());
+        spawn(async move { peer_client::leaving(&node, addr, &news).await });
+    }
+}
+
+fn evacuate(node: &Rc<Node>, vm: &Name, left: Duration) {
+    let records: Vec<Rc<Record>> = node
+        .records
+        .borrow()
+        .values()
+        .filter(|record| record.upstream().as_ref() == Some(vm))
+        .cloned()
+        .collect();
+    let plan = match node.settings.streams.evacuation {
+        EvacuationPolicy::Cost => plan(node, vm, left, &records),
+        EvacuationPolicy::ResumeAll => (0..records.len()).map(|i| (i, Move::Resume)).collect(),
+        EvacuationPolicy::Wait => Vec::new(),
+    };
+    let mut exports = Vec::new();
+    for (index, action) in plan {
+        let record = &records[index];
+        let (name, reason) = describe(action);
+        let subject = record.request.id.as_str();
+        node.decisions
+            .note(node.wall_millis(), "evacuate", subject, name, reason);
+        node.metrics.moved.get_or_create(&kind(name)).inc();
+        match action {
+            Move::Finish => {}
+            Move::Export => exports.push(record.clone()),
+            Move::Resume => resume(node, record),
+        }
+    }
+    if !exports.is_empty() {
+        spawn(export_all(node.clone(), vm.clone(), exports, left));
+    }
+}
+
+fn describe(action: Move) -> (&'static str, &'static str) {
+    match action {
+        Move::Finish => ("finish", "the rest of the answer fits the notice"),
+        Move::Export => ("export", "the KV cache can be moved within the notice"),
+        Move::Resume => ("resume", "the KV cache can't be moved within the notice"),
+    }
+}
+
+fn plan(node: &Node, vm: &Name, left: Duration, records: &[Rc<Record>]) -> Vec<(usize, Move)> {
+    let step = node
+        .table
+        .borrow()
+        .get(vm)
+        .and_then(|upstream| upstream.load)
+        .map_or(DEFAULT_STEP, |load| {
+            Duration::from_micros(u64::from(load.step_us))
+        });
+    let sharers = node.peers.borrow().serving_domain(node.now()).len().max(1);
+    let input = EvacuationInput {
+        left,
+        step,
+        // The other entries of the domain move their streams at the same time.
+        link_rate: DEFAULT_LINK_RATE / sharers as f64,
+        links: 1,
+    };
+    let expectations = node.expectations.borrow();
+    let candidates = records.iter().enumerate().map(|(index, record)| {
+        let request = &record.request;
+        let length = record.length();
+        let key = (request.workspace.clone(), request.service.clone());
+        let expected = expectations
+            .get(&key)
+            .map_or(request.max_tokens, |expectation| {
+                expectation.length(REST_QUANTILE, length, request.max_tokens)
+            });
+        Candidate {
+            index,
+            context: request.prompt_tokens + length as u64,
+            rest: expected.saturating_sub(length) as u64,
+        }
+    });
+    plan_evacuation(input, candidates.collect::<Vec<_>>())
+}
+
+fn resume(node: &Node, record: &Record) {
+    let tokens = record.request.prompt_tokens + record.length() as u64;
+    node.metrics
+        .recomputed
+        .get_or_create(&kind("reclaim"))
+        .inc_by(tokens);
+    record.redirect(None);
+}
+
+/// Moves KV caches one after another, in the order of the plan.
+async fn export_all(node: Rc<Node>, vm: Name, records: Vec<Rc<Record>>, left: Duration) {
+    let deadline = node.now() + left.mul_f64(IMPORT_SHARE);
+    for record in records {
+        if record.is_over() || record.upstream().as_ref() != Some(&vm) {
+            continue;
+        }
+        let wait = deadline.saturating_duration_since(node.now());
+        match export(&node, &vm, &record, wait).await {
+            Some(target) => record.redirect(Some(target)),
+            None => resume(&node, &record),
+        }
+    }
+}
+
+async fn export(node: &Rc<Node>, vm: &Name, record: &Record, wait: Duration) -> Option<Name> {
+    let source = node.table.borrow().get(vm)?.addr;
+    let target = choose_target(node, record)?;
+    let addr = node.table.borrow().get(&target)?.addr;
+    let order = ImportOrder {
+        source,
+        request: record.request.id.as_str().to_owned(),
+    };
+    node.engines.import(addr, &order, wait).await.ok()?;
+    Some(target)
+}
+
+fn choose_target(node: &Node, record: &Record) -> Option<Name> {
+    let request = &record.request;
+    let blocks = prefix_blocks(&prompt_text(&request.body));
+    let query = Query {
+        service: &request.service,
+        domain: &node.settings.domain,
+        tokens: 0,
+        blocks: &blocks,
+        avoid: &[],
+        alone: false,
+    };
+    node.choose(&query, request.id.as_str())
+        .map(|choice| choice.vm)
+}
--- /dev/null
+++ b/crates/entry/src/load.rs
@@ -0,0 +1,105 @@
+//! Reading of the engines' load and cache events.
+//!
+//! The entries of a failure domain divide its engines among them and tell each
+//! other the loads in their exchange.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures_util::future::join_all;
+use lycheehaven_routing::Load;
+use lycheehaven_routing::Upstream;
+use lycheehaven_types::HashMap;
+use lycheehaven_types::Incarnation;
+use lycheehaven_types::Name;
+use lycheehaven_types::rendezvous;
+use lycheehaven_upstream::protocol::LoadReport;
+
+use crate::node::Node;
+use crate::node::pause;
+
+#[derive(Debug, Clone, Copy)]
+struct Cursor {
+    incarnation: Incarnation,
+    next: u64,
+}
+
+type Cursors = RefCell<HashMap<Name, Cursor>>;
+
+/// Reads load and cache events of this entry's engines each period.
+pub(crate) async fn run(node: Rc<Node>) {
+    let cursors = Cursors::default();
+    while !node.stop.is_cancelled() {
+        let engines = assigned(&node);
+        join_all(engines.iter().map(|engine| read(&node, engine, &cursors))).await;
+        pause(node.settings.timing.load_poll_ms).await;
+    }
+}
+
+fn assigned(node: &Node) -> Vec<Upstream> {
+    let entries = node.peers.borrow().serving_domain(node.now());
+    let declared = node.declared();
+    let table = node.table.borrow();
+    let near = table
+        .iter()
+        .filter(|upstream| upstream.domain == node.settings.domain);
+    let models = near.filter(|upstream| {
+        let service = declared.services.get(&upstream.service);
+        service.is_some_and(|service| service.kind == lycheehaven_config::ServiceKind::Model)
+    });
+    let own = models.filter(|upstream| {
+        let order = rendezvous(&upstream.id.vm, entries.iter());
+        order
+            .first()
+            .is_none_or(|first| **first == node.settings.name)
+    });
+    own.cloned().collect()
+}
+
+async fn read(node: &Rc<Node>, engine: &Upstream, cursors: &Cursors) {
+    let name = &engine.id.vm;
+    let Ok(report) = node.engines.load(engine.addr).await else {
+        return;
+    };
+    let load = load_of(&report, node.wall_millis());
+    node.table
+        .borrow_mut()
+        .report(name, engine.id.incarnation, load);
+    let from = cursors
+        .borrow()
+        .get(name)
+        .filter(|cursor| cursor.incarnation == engine.id.incarnation)
+        .map_or(0, |cursor| cursor.next);
+    let Ok(events) = node.engines.cache_events(engine.addr, from).await else {
+        return;
+    };
+    let cursor = Cursor {
+        incarnation: engine.id.incarnation,
+        next: events.next,
+    };
+    cursors.borrow_mut().insert(name.clone(), cursor);
+    let mut table = node.table.borrow_mut();
+    if events.gap {
+        // An eviction may be among the lost events.
+        table.forget_cache(name);
+    }
+    for event in events.events {
+        if event.added {
+            table.cached(name, event.block);
+        } else {
+            table.evicted(name, event.block);
+        }
+    }
+}
+
+fn load_of(report: &LoadReport, time: u64) -> Load {
+    Load {
+        time,
+        running: report.running,
+        waiting: report.waiting,
+        prefill: report.prefill_tokens,
+        rate: report.prefill_rate as f32,
+        step_us: u32::try_from(report.step_us).unwrap_or(u32::MAX),
+        limit: report.batch_limit,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,291 @@
+//! State shared by the loops and handlers of one entry.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_config::Declared;
+use lycheehaven_config::RoutingPolicy;
+use lycheehaven_config::Settings;
+use lycheehaven_limits::Limiter;
+use lycheehaven_limits::Shares;
+use lycheehaven_limits::Topology;
+use lycheehaven_net::Caller;
+use lycheehaven_peers::Leaving;
+use lycheehaven_peers::MemberDigest;
+use lycheehaven_peers::Peers;
+use lycheehaven_peers::Timing;
+use lycheehaven_platform::CloudApi;
+use lycheehaven_platform::ObjectApi;
+use lycheehaven_platform::Vm;
+use lycheehaven_platform::VmState;
+use lycheehaven_routing::Choice;
+use lycheehaven_routing::Policy;
+use lycheehaven_routing::Query;
+use lycheehaven_routing::Rules;
+use lycheehaven_routing::Table;
+use lycheehaven_routing::Upstream;
+use lycheehaven_routing::UpstreamId;
+use lycheehaven_streams::Expectation;
+use lycheehaven_streams::Suspicion;
+use lycheehaven_types::Clock;
+use lycheehaven_types::Digest;
+use lycheehaven_types::HashMap;
+use lycheehaven_types::Incarnation;
+use lycheehaven_types::Name;
+use lycheehaven_types::RequestId;
+use lycheehaven_types::rendezvous;
+use lycheehaven_upstream::EngineClient;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::claimant::Claimant;
+use crate::decisions::Decisions;
+use crate::metrics::Metrics;
+use crate::record::Record;
+use crate::replicate::Replica;
+use crate::replicate::Replicator;
+
+/// Service name of entries in the VM list.
+pub(crate) const ENTRY_SERVICE: &str = "lycheehaven";
+
+/// Header that carries the entries' shared secret.
+pub(crate) const PEER_KEY_HEADER: &str = "x-peer-key";
+
+/// State of one entry.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) objects: ObjectApi,
+    pub(crate) cloud: CloudApi,
+    pub(crate) engines: EngineClient,
+    pub(crate) caller: Caller,
+    pub(crate) config: RefCell<Rc<Declared>>,
+    pub(crate) config_changed: Notify,
+    pub(crate) vms: RefCell<Vec<Vm>>,
+    pub(crate) vm_revision: Cell<u64>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) leaving: RefCell<Leaving>,
+    pub(crate) table: RefCell<Table>,
+    pub(crate) shares: RefCell<Shares>,
+    pub(crate) limiter: RefCell<Limiter>,
+    pub(crate) suspicion: RefCell<Suspicion>,
+    pub(crate) expectations: RefCell<HashMap<(Name, Name), Expectation>>,
+    pub(crate) records: RefCell<HashMap<RequestId, Rc<Record>>>,
+    pub(crate) by_key: RefCell<HashMap<Digest, RequestId>>,
+    pub(crate) replicas: RefCell<HashMap<RequestId, Replica>>,
+    pub(crate) replicator: Replicator,
+    pub(crate) claimant: Claimant,
+    pub(crate) decisions: Decisions,
+    pub(crate) metrics: Metrics,
+    pub(crate) ready: Cell<bool>,
+    pub(crate) draining: Cell<bool>,
+    pub(crate) handing_over: Cell<bool>,
+    /// When this entry's own VM will be reclaimed.
+    pub(crate) reclaim_at: Cell<Option<Instant>>,
+    pub(crate) drain: Notify,
+    pub(crate) stop: CancellationToken,
+}
+
+impl Node {
+    /// Creates the state; nothing runs yet. `peer_addr` is the bound address of
+    /// the peer listener.
+    pub(crate) fn new(settings: Settings, peer_addr: SocketAddr, clock: Rc<dyn Clock>) -> Rc<Self> {
+        let incarnation = Incarnation::starting(clock.wall(), rand::random());
+        let timing = &settings.timing;
+        let me = MemberDigest {
+            name: settings.name.clone(),
+            incarnation,
+            domain: settings.domain.clone(),
+            addr: peer_addr,
+            heartbeat: 0,
+            leaving: false,
+        };
+        let peer_timing = Timing {
+            outside_every: timing.outside_every,
+            dead_after: Duration::from_millis(timing.peer_dead_ms),
+        };
+        let timeout = Duration::from_millis(settings.platform.timeout_ms);
+        let connect = Duration::from_millis(timing.connect_ms);
+        let silence = Duration::from_millis(timing.silence_ms);
+        Rc::new(Self {
+            incarnation,
+            objects: ObjectApi::new(settings.platform.objects, timeout),
+            cloud: CloudApi::new(settings.platform.cloud, timeout),
+            engines: EngineClient::new(connect, silence),
+            caller: Caller::new().with_header(PEER_KEY_HEADER, settings.peer_key.clone()),
+            config: RefCell::new(Rc::new(Declared::default())),
+            config_changed: Notify::new(),
+            vms: RefCell::default(),
+            vm_revision: Cell::new(0),
+            peers: RefCell::new(Peers::new(me, peer_timing)),
+            leaving: RefCell::default(),
+            table: RefCell::default(),
+            shares: RefCell::default(),
+            limiter: RefCell::new(Limiter::new(settings.streams.records as u32)),
+            suspicion: RefCell::default(),
+            expectations: RefCell::default(),
+            records: RefCell::default(),
+            by_key: RefCell::default(),
+            replicas: RefCell::default(),
+            replicator: Replicator::default(),
+            claimant: Claimant::default(),
+            decisions: Decisions::default(),
+            metrics: Metrics::new(),
+            ready: Cell::new(false),
+            draining: Cell::new(false),
+            handing_over: Cell::new(false),
+            reclaim_at: Cell::new(None),
+            drain: Notify::new(),
+            stop: CancellationToken::new(),
+            clock,
+            settings,
+        })
+    }
+
+    /// Current monotonic time.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub(crate) fn wall_millis(&self) -> u64 {
+        let wall = self.clock.wall().duration_since(std::time::UNIX_EPOCH);
+        wall.map_or(0, |time| time.as_millis() as u64)
+    }
+
+    /// The configuration in force.
+    pub(crate) fn declared(&self) -> Rc<Declared> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless the one in force is as new.
+    pub(crate) fn adopt_config(&self, declared: Declared) -> bool {
+        let current = self.config.borrow().number;
+        if declared.number <= current {
+            return false;
+        }
+        log::info!(target: "config", from = current, number = declared.number; "configuration in force");
+        self.metrics.config_number.set(declared.number as i64);
+        *self.config.borrow_mut() = Rc::new(declared);
+        self.config_changed.notify_waiters();
+        true
+    }
+
+    /// Takes over a VM list.
+    pub(crate) fn adopt_vms(&self, vms: Vec<Vm>, revision: u64) {
+        let now = self.now();
+        for vm in vms.iter().filter(|vm| vm.state == VmState::Leaving) {
+            self.leaving.borrow_mut().add(&vm.name, vm.incarnation, now);
+        }
+        let (entries, upstreams): (Vec<&Vm>, Vec<&Vm>) =
+            vms.iter().partition(|vm| &*vm.service == ENTRY_SERVICE);
+        let addresses = entries.iter().map(|vm| (vm.name.clone(), vm.addr));
+        self.peers.borrow_mut().set_addresses(addresses);
+        let leaving = self.leaving.borrow();
+        self.table.borrow_mut().sync(upstreams.iter().map(|vm| {
+            let id = UpstreamId {
+                vm: vm.name.clone(),
+                incarnation: vm.incarnation,
+            };
+            let mut upstream = Upstream::new(id, vm.domain.clone(), vm.service.clone(), vm.addr);
+            upstream.leaving = leaving.contains(&vm.name, vm.incarnation);
+            upstream
+        }));
+        drop(leaving);
+        self.vm_revision.set(revision);
+        *self.vms.borrow_mut() = vms;
+    }
+
+    /// Chooses an upstream and logs the decision under `subject`.
+    pub(crate) fn choose(&self, query: &Query<'_>, subject: &str) -> Option<Choice> {
+        let settings = &self.settings.routing;
+        let policy = match settings.policy {
+            RoutingPolicy::Cost => Policy::Cost,
+            RoutingPolicy::RoundRobin => Policy::RoundRobin,
+            RoutingPolicy::LeastLoaded => Policy::LeastLoaded,
+        };
+        let hop = Duration::from_millis(settings.hop_ms);
+        let rules = Rules {
+            policy,
+            sample: settings.sample,
+            hop,
+        };
+        let choice = self
+            .table
+            .borrow_mut()
+            .choose(&rules, query, self.draw(), self.now())?;
+        self.decisions.route(self.wall_millis(), subject, &choice);
+        Some(choice)
+    }
+
+    /// How many entries share the limits.
+    pub(crate) fn topology(&self) -> Topology {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let vms = self.vms.borrow();
+        let domain = &self.settings.domain;
+        let listed = vms.iter().filter(|vm| &*vm.service == ENTRY_SERVICE);
+        let (mut known, mut domain_known) = (0, 0);
+        for vm in listed {
+            known += 1;
+            domain_known += usize::from(vm.domain == *domain);
+        }
+        let alive = peers.alive(now);
+        let connected = alive.iter().any(|member| member.digest.domain != *domain);
+        Topology {
+            known: known.max(1),
+            alive: alive.len() + 1,
+            domain_known: domain_known.max(1),
+            connected,
+        }
+    }
+
+    /// Chooses the peer that holds the replica of a record, other failure
+    /// domains first, so that a whole domain can be lost. `None` if there is no
+    /// other live entry.
+    pub(crate) fn choose_replica(&self, key: &str, avoid: Option<&str>) -> Option<Name> {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let alive = peers.alive(now);
+        let usable = alive
+            .iter()
+            .filter(|member| !member.digest.leaving && Some(&*member.digest.name) != avoid);
+        let (near, far): (Vec<_>, Vec<_>) =
+            usable.partition(|member| member.digest.domain == self.settings.domain);
+        let pick = |members: Vec<&&lycheehaven_peers::Member>| {
+            let names: Vec<Name> = members
+                .iter()
+                .map(|member| member.digest.name.clone())
+                .collect();
+            rendezvous(key, names.iter())
+                .first()
+                .map(|name| (*name).clone())
+        };
+        pick(far).or_else(|| pick(near))
+    }
+
+    /// Name of this run of this entry, as recorded in claims.
+    pub(crate) fn holder(&self) -> Name {
+        format!("{}.{}", self.settings.name, self.incarnation.0).into()
+    }
+
+    /// A random number for decisions.
+    pub(crate) fn draw(&self) -> u64 {
+        rand::random()
+    }
+}
+
+/// Runs `task` until its end or until the entry stops.
+pub(crate) fn spawn(task: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(task).detach();
+}
+
+/// Sleeps for a number of milliseconds.
+pub(crate) async fn pause(millis: u64) {
+    compio::time::sleep(Duration::from_millis(millis)).await;
+}
--- /dev/null
+++ b/crates/entry/src/peer_client.rs
@@ -0,0 +1,103 @@
+//! Calls to the other entries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lycheehaven_net::CallError;
+use lycheehaven_peers::Exchange;
+use lycheehaven_types::Name;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::node::Node;
+use crate::wire::BootState;
+use crate::wire::ClaimAsk;
+use crate::wire::ClaimQuery;
+use crate::wire::ClaimStatus;
+use crate::wire::LeavingNews;
+use crate::wire::RecordUpdate;
+use crate::wire::SuspectNews;
+use crate::wire::SuspectReply;
+use crate::wire::UpdateAcks;
+
+/// Timeout of short calls to a peer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Timeout of waiting for the answer of a call that runs at a peer.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Added to the platform's timeout when a peer writes a claim.
+const CLAIM_MARGIN: Duration = Duration::from_millis(300);
+
+pub(crate) async fn exchange(
+    node: &Node,
+    addr: SocketAddr,
+    message: &Exchange,
+) -> Result<Exchange, CallError> {
+    post(node, addr, "/peer/exchange", message, CALL_TIMEOUT).await
+}
+
+pub(crate) async fn boot_state(node: &Node, addr: SocketAddr) -> Option<BootState> {
+    post(node, addr, "/peer/boot", &(), CALL_TIMEOUT).await.ok()
+}
+
+pub(crate) async fn leaving(node: &Node, addr: SocketAddr, news: &[LeavingNews]) {
+    let sent: Result<(), CallError> = post(node, addr, "/peer/leaving", &news, CALL_TIMEOUT).await;
+    if let Err(cause) = sent {
+        log::debug!(target: "peers", peer = addr.to_string().as_str(); "leaving VM not told: {cause}");
+    }
+}
+
+pub(crate) async fn replicate(
+    node: &Node,
+    addr: SocketAddr,
+    updates: &[RecordUpdate],
+) -> Result<UpdateAcks, CallError> {
+    post(node, addr, "/peer/replicate", &updates, CALL_TIMEOUT).await
+}
+
+pub(crate) async fn claim(
+    node: &Node,
+    addr: SocketAddr,
+    ask: &ClaimAsk,
+) -> Result<lycheehaven_claims::ClaimReply, CallError> {
+    // The owner may need several platform calls for a contended claim.
+    let wait = Duration::from_millis(node.settings.platform.timeout_ms) * 2 + CLAIM_MARGIN;
+    post(node, addr, "/peer/claim", ask, wait).await
+}
+
+pub(crate) async fn claim_status(
+    node: &Node,
+    addr: SocketAddr,
+    query: &ClaimQuery,
+) -> Result<ClaimStatus, CallError> {
+    post(node, addr, "/peer/claim_status", query, STATUS_TIMEOUT).await
+}
+
+pub(crate) async fn suspect(
+    node: &Node,
+    addr: SocketAddr,
+    news: &SuspectNews,
+) -> Result<SuspectReply, CallError> {
+    post(node, addr, "/peer/suspect", news, CALL_TIMEOUT).await
+}
+
+/// Addresses of all live peers.
+pub(crate) fn live_addresses(node: &Node) -> Vec<(Name, SocketAddr)> {
+    let peers = node.peers.borrow();
+    let alive = peers.alive(node.now()).into_iter();
+    let names = alive.map(|member| member.digest.name.clone());
+    names
+        .filter_map(|name| peers.address(&name).map(|addr| (name, addr)))
+        .collect()
+}
+
+async fn post<T: DeserializeOwned>(
+    node: &Node,
+    addr: SocketAddr,
+    path: &str,
+    message: &impl Serialize,
+    wait: Duration,
+) -> Result<T, CallError> {
+    node.caller.post_message(addr, path, message, wait).await
+}
--- /dev/null
+++ b/crates/entry/src/respond.rs
@@ -0,0 +1,208 @@
+//! Answers to callers, streamed or whole.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::SinkExt;
+use hyper::Response;
+use hyper::header::HeaderValue;
+use lycheehaven_net::Body;
+use lycheehaven_net::BodySender;
+use lycheehaven_net::bytes_response;
+use lycheehaven_net::json_response;
+use lycheehaven_streams::Phase;
+use lycheehaven_types::ErrorKind;
+use lycheehaven_types::Failure;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::node::Node;
+use crate::node::spawn;
+use crate::record::Attendance;
+use crate::record::Record;
+use crate::record::Shape;
+
+/// Header that names the request in every answer.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Period of comments that keep an idle stream open.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
+/// Chunks buffered towards a caller.
+const BUFFER: usize = 1;
+
+/// Answers with a record's tokens from `from` on, or with the whole answer.
+pub(crate) async fn answer(
+    node: &Rc<Node>,
+    record: Rc<Record>,
+    stream: bool,
+    from: usize,
+) -> Result<Response<Body>, Failure> {
+    let mut response = if stream {
+        stream_response(node, record.clone(), from)
+    } else {
+        whole_response(&record).await?
+    };
+    let id = HeaderValue::from_str(record.request.id.as_str()).expect("identifiers are ASCII");
+    response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    Ok(response)
+}
+
+fn stream_response(node: &Rc<Node>, record: Rc<Record>, from: usize) -> Response<Body> {
+    let (sender, body) = Body::channel(BUFFER);
+    let mut response = bytes_response(200, "text/event-stream", "");
+    *response.body_mut() = body;
+    let node = node.clone();
+    spawn(async move {
+        let reading = send_events(&record, from, sender);
+        reading.await;
+        record.touched.set(node.now());
+    });
+    response
+}
+
+/// Sends events until the answer ends, the caller is gone, or the record was
+/// given to a peer.
+async fn send_events(record: &Record, from: usize, mut sender: BodySender) {
+    let _attendance = Attendance::reader(record);
+    let mut sent = from;
+    loop {
+        let more = record
+            .wait_until(|record| record.visible() > sent || is_shown(record) || record.given.get());
+        let event = match compio::time::timeout(KEEP_ALIVE, more).await {
+            Err(_) => ": keep-alive\n\n".to_owned(),
+            Ok(()) if record.visible() > sent => {
+                let to = record.visible();
+                let event = token_event(record, sent, to);
+                sent = to;
+                event
+            }
+            Ok(()) => {
+                let last = if is_shown(record) {
+                    last_event(record)
+                } else {
+                    moved_event(record)
+                };
+                let _ = sender.send(Ok(last.into())).await;
+                return;
+            }
+        };
+        if sender.send(Ok(event.into())).await.is_err() {
+            return;
+        }
+        record.advance_read(sent);
+    }
+}
+
+/// Whether the answer is over and all of it may be shown.
+fn is_shown(record: &Record) -> bool {
+    let stream = record.stream.borrow();
+    match stream.phase() {
+        Phase::Finished(_) => record.visible() == stream.tokens().len(),
+        Phase::Failed(..) => true,
+        Phase::Waiting | Phase::Running(_) => false,
+    }
+}
+
+fn token_event(record: &Record, from: usize, to: usize) -> String {
+    let stream = record.stream.borrow();
+    let text = stream.tokens().slice(from, to);
+    let data = chunk(record, Some(text), None);
+    format!("id: {to}\ndata: {data}\n\n")
+}
+
+fn last_event(record: &Record) -> String {
+    if let Some(failure) = record.failure() {
+        let data = serde_json::to_string(&failure.body()).expect("errors serialize");
+        return format!("event: error\ndata: {data}\n\n");
+    }
+    let data = chunk(record, None, Some(&finish_reason(record)));
+    format!("id: {}\ndata: {data}\n\ndata: [DONE]\n\n", record.length())
+}
+
+/// Tells the caller to fetch the rest of the answer from another entry.
+fn moved_event(record: &Record) -> String {
+    let path = format!("/v1/requests/{}", record.request.id);
+    format!(
+        "event: moved\nretry: 200\ndata: {}\n\n",
+        json!({"resume": path})
+    )
+}
+
+fn finish_reason(record: &Record) -> String {
+    match record.stream.borrow().phase() {
+        Phase::Finished(reason) => reason.clone(),
+        _ => "stop".into(),
+    }
+}
+
+fn chunk(record: &Record, text: Option<&str>, finish: Option<&str>) -> Value {
+    let request = &record.request;
+    let (object, choice) = match request.shape {
+        Shape::Chat => {
+            let delta = text.map_or_else(|| json!({}), |text| json!({"content": text}));
+            let choice = json!({"index": 0, "delta": delta, "finish_reason": finish});
+            ("chat.completion.chunk", choice)
+        }
+        Shape::Completions | Shape::Plain => {
+            let text = text.unwrap_or("");
+            let choice = json!({"index": 0, "text": text, "finish_reason": finish});
+            ("text_completion", choice)
+        }
+    };
+    json!({
+        "id": request.id,
+        "object": object,
+        "created": request.created,
+        "model": request.service,
+        "choices": [choice],
+    })
+}
+
+async fn whole_response(record: &Rc<Record>) -> Result<Response<Body>, Failure> {
+    let _attendance = Attendance::waiter(record);
+    record
+        .wait_until(|record| is_shown(record) || record.given.get())
+        .await;
+    if let Some(failure) = record.failure() {
+        return Err(failure);
+    }
+    if !is_shown(record) {
+        let message = format!("fetch the answer at /v1/requests/{}", record.request.id);
+        return Err(Failure::new(ErrorKind::Moved, message));
+    }
+    Ok(json_response(200, &whole(record)))
+}
+
+fn whole(record: &Record) -> Value {
+    let request = &record.request;
+    let stream = record.stream.borrow();
+    let text = stream.tokens().text();
+    let finish = finish_reason(record);
+    let (object, choice) = match request.shape {
+        Shape::Chat => {
+            let message = json!({"role": "assistant", "content": text});
+            (
+                "chat.completion",
+                json!({"index": 0, "message": message, "finish_reason": finish}),
+            )
+        }
+        Shape::Completions | Shape::Plain => (
+            "text_completion",
+            json!({"index": 0, "text": text, "finish_reason": finish}),
+        ),
+    };
+    let completion = stream.tokens().len() as u64;
+    json!({
+        "id": request.id,
+        "object": object,
+        "created": request.created,
+        "model": request.service,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": request.prompt_tokens,
+            "completion_tokens": completion,
+            "total_tokens": request.prompt_tokens + completion,
+        },
+    })
+}
--- /dev/null
+++ b/crates/entry/src/watch.rs
@@ -0,0 +1,126 @@
+//! Loops that follow the platform.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use lycheehaven_platform::Version;
+use lycheehaven_platform::VmState;
+use lycheehaven_platform::WatchOutcome;
+
+use crate::config_store;
+use crate::evacuate;
+use crate::metrics::kind;
+use crate::node::Node;
+use crate::node::pause;
+
+/// First wait after a failed call; doubles up to [`RETRY_LIMIT_MS`].
+const RETRY_START_MS: u64 = 100;
+
+/// Longest wait after failed calls.
+const RETRY_LIMIT_MS: u64 = 2000;
+
+/// Notice that is assumed where the VM list shows a leaving VM without one.
+pub(crate) const DEFAULT_NOTICE: Duration = Duration::from_secs(10);
+
+/// Puts each new configuration in force as the platform shows it.
+pub(crate) async fn follow_config(node: Rc<Node>) {
+    let wait = Duration::from_millis(node.settings.timing.watch_ms);
+    let mut from = Version(0);
+    let mut backoff = Backoff::new();
+    while !node.stop.is_cancelled() {
+        node.metrics
+            .platform_calls
+            .get_or_create(&kind("watch"))
+            .inc();
+        let seen = match node
+            .objects
+            .watch(config_store::CONFIG_KEY, from, wait)
+            .await
+        {
+            Ok(WatchOutcome::Changed(object)) => config_store::decode(&object).map(Some),
+            Ok(WatchOutcome::Unchanged) => Ok(None),
+            Ok(WatchOutcome::Gone) => config_store::read(&node).await,
+            Err(cause) => Err(cause),
+        };
+        match seen {
+            Ok(Some((declared, version))) => {
+                from = version;
+                node.adopt_config(declared);
+                backoff.reset();
+            }
+            Ok(None) => backoff.wait_if_repeated().await,
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
+/// Follows the VM list.
+pub(crate) async fn follow_vms(node: Rc<Node>) {
+    while !node.stop.is_cancelled() {
+        let known = node.vm_revision.get();
+        if let Ok(Some(list)) = node.cloud.vms(&node.settings.domain, known).await {
+            let leaving = list.vms.iter().filter(|vm| vm.state == VmState::Leaving);
+            let leaving: Vec<_> = leaving
+                .map(|vm| (vm.name.clone(), vm.incarnation))
+                .collect();
+            // Evacuation looks at what is news, so it goes before adoption.
+            for (name, incarnation) in leaving {
+                evacuate::on_leaving(&node, &name, incarnation, DEFAULT_NOTICE);
+            }
+            node.adopt_vms(list.vms, list.revision);
+        }
+        pause(node.settings.timing.vm_poll_ms).await;
+    }
+}
+
+/// Follows the reclaim notices of this failure domain.
+pub(crate) async fn follow_notices(node: Rc<Node>) {
+    let wait = Duration::from_millis(node.settings.timing.watch_ms);
+    let mut next = 0;
+    let mut backoff = Backoff::new();
+    while !node.stop.is_cancelled() {
+        match node.cloud.notices(&node.settings.domain, next, wait).await {
+            Ok(notices) => {
+                next = notices.next;
+                backoff.reset();
+                for notice in notices.notices {
+                    let left = Duration::from_millis(notice.left_ms);
+                    evacuate::on_leaving(&node, &notice.vm, notice.incarnation, left);
+                }
+            }
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
+/// Doubling waits between failed calls.
+struct Backoff {
+    millis: u64,
+    idle: u32,
+}
+
+impl Backoff {
+    fn new() -> Self {
+        Self {
+            millis: RETRY_START_MS,
+            idle: 0,
+        }
+    }
+
+    fn reset(&mut self) {
+        *self = Self::new();
+    }
+
+    async fn wait(&mut self) {
+        pause(self.millis).await;
+        self.millis = (self.millis * 2).min(RETRY_LIMIT_MS);
+    }
+
+    /// Slows down a platform that answers watches at once without news.
+    async fn wait_if_repeated(&mut self) {
+        self.idle += 1;
+        if self.idle > 1 {
+            pause(RETRY_START_MS).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,14 @@
+//! Per-workspace limits, split over the entries without I/O.
+//!
+//! Each entry enforces its share of a workspace's declared limits. The share
+//! follows demand as the entries tell each other, and falls back to a fixed
+//! part while other failure domains can't be heard.
+
+mod limiter;
+mod share;
+
+pub use limiter::Limiter;
+pub use limiter::Refusal;
+pub use limiter::Ticket;
+pub use share::Shares;
+pub use share::Topology;
--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,111 @@
+//! Response bodies, and bounded reading of request bodies.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use futures_channel::mpsc;
+use futures_util::Stream;
+use http_body_util::BodyExt;
+use hyper::body::Bytes;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use lycheehaven_types::ErrorKind;
+use lycheehaven_types::Failure;
+
+/// Feeds a streamed [`Body`]. Sending an error breaks the connection, so that
+/// the receiver can tell a cut answer from a whole one.
+pub type BodySender = mpsc::Sender<io::Result<Bytes>>;
+
+/// Body of a request or a response.
+#[derive(Debug)]
+pub enum Body {
+    /// All bytes are known.
+    Full(Option<Bytes>),
+    /// Bytes arrive from a [`BodySender`].
+    Stream(mpsc::Receiver<io::Result<Bytes>>),
+}
+
+impl Body {
+    /// A body of known bytes.
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::Full(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
+    }
+
+    /// A streamed body that buffers up to `depth` chunks.
+    pub fn channel(depth: usize) -> (BodySender, Self) {
+        let (sender, receiver) = mpsc::channel(depth);
+        (sender, Self::Stream(receiver))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match self.get_mut() {
+            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(receiver) => Pin::new(receiver)
+                .poll_next(cx)
+                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes within `wait`.
+///
+/// # Errors
+/// `TooLarge`, `SlowRequest`, or `BadRequest` if the sender breaks off.
+pub async fn read_body<B>(body: B, limit: usize, wait: Duration) -> Result<Bytes, Failure>
+where
+    B: hyper::body::Body<Data = Bytes>,
+{
+    match compio::time::timeout(wait, collect(body, limit)).await {
+        Ok(result) => result,
+        Err(_) => Err(Failure::new(
+            ErrorKind::SlowRequest,
+            format!("the body did not arrive within {} s", wait.as_secs()),
+        )),
+    }
+}
+
+async fn collect<B>(body: B, limit: usize) -> Result<Bytes, Failure>
+where
+    B: hyper::body::Body<Data = Bytes>,
+{
+    let mut body = std::pin::pin!(body);
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| {
+            Failure::new(ErrorKind::BadRequest, "the body broke off before its end")
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            let message = format!("the body is larger than {limit} bytes");
+            return Err(Failure::new(ErrorKind::TooLarge, message));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.into())
+}
--- /dev/null
+++ b/crates/net/src/caller.rs
@@ -0,0 +1,204 @@
+//! Pooled HTTP calls with a timeout.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::body::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Why a call gave no answer. The request may have taken effect.
+#[derive(Debug)]
+pub enum CallError {
+    /// No answer arrived in time.
+    Timeout,
+    /// The connection failed.
+    Transport(String),
+    /// The answer could not be decoded.
+    Decode(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Timeout => f.write_str("no answer in time"),
+            Self::Transport(cause) => write!(f, "connection failed: {cause}"),
+            Self::Decode(cause) => write!(f, "unreadable answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Whether the status is 2xx.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// Decodes a JSON body.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body).map_err(|cause| CallError::Decode(cause.to_string()))
+    }
+
+    /// Decodes a MessagePack body.
+    pub fn message<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        rmp_serde::from_slice(&self.body).map_err(|cause| CallError::Decode(cause.to_string()))
+    }
+}
+
+/// Makes calls over pooled connections. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    client: cyper::Client,
+    headers: Vec<(&'static str, String)>,
+}
+
+impl Caller {
+    /// Creates a caller that ignores the environment's proxy variables.
+    pub fn new() -> Self {
+        let client = cyper::Client::builder()
+            .no_proxy()
+            .build()
+            .expect("a client without TLS always builds");
+        Self {
+            client,
+            headers: Vec::new(),
+        }
+    }
+
+    /// Sends `value` as header `name` with every call.
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Sends one request and reads the whole answer within `wait`.
+    pub async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: impl Into<Bytes>,
+        wait: Duration,
+    ) -> Result<Reply, CallError> {
+        self.call_with(method, addr, path, &[], body, wait).await
+    }
+
+    /// As [`Caller::call`], with further headers.
+    #[allow(clippy::too_many_arguments)]
+    pub async fn call_with(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, String)],
+        body: impl Into<Bytes>,
+        wait: Duration,
+    ) -> Result<Reply, CallError> {
+        let exchange = self.exchange(method, addr, path, headers, body.into());
+        match compio::time::timeout(wait, exchange).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(cause)) => Err(CallError::Transport(cause.to_string())),
+            Err(_) => Err(CallError::Timeout),
+        }
+    }
+
+    /// Posts a JSON value and decodes a JSON answer of status 2xx.
+    pub async fn post_json<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        value: &impl Serialize,
+        wait: Duration,
+    ) -> Result<T, CallError> {
+        let body = serde_json::to_vec(value).expect("requests serialize to JSON");
+        let reply = self.call(Method::POST, addr, path, body, wait).await?;
+        expect_success(reply)?.json()
+    }
+
+    /// Gets a JSON value.
+    pub async fn get_json<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        wait: Duration,
+    ) -> Result<T, CallError> {
+        let reply = self
+            .call(Method::GET, addr, path, Bytes::new(), wait)
+            .await?;
+        expect_success(reply)?.json()
+    }
+
+    /// Posts a MessagePack value and decodes a MessagePack answer.
+    pub async fn post_message<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        value: &impl Serialize,
+        wait: Duration,
+    ) -> Result<T, CallError> {
+        let body = rmp_serde::to_vec_named(value).expect("messages serialize to MessagePack");
+        let reply = self.call(Method::POST, addr, path, body, wait).await?;
+        expect_success(reply)?.message()
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, String)],
+        body: Bytes,
+    ) -> cyper::Result<Reply> {
+        let mut request = self
+            .client
+            .request(method, format!("http://{addr}{path}"))?;
+        for (name, value) in &self.headers {
+            request = request.header(*name, value.as_str())?;
+        }
+        for (name, value) in headers {
+            request = request.header(*name, value.as_str())?;
+        }
+        let response = request.body(body).send().await?;
+        let status = response.status().as_u16();
+        let headers = response.headers().clone();
+        let body = response.bytes().await?;
+        Ok(Reply {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn expect_success(reply: Reply) -> Result<Reply, CallError> {
+    if reply.is_success() {
+        return Ok(reply);
+    }
+    let text = String::from_utf8_lossy(&reply.body);
+    Err(CallError::Transport(format!(
+        "status {}: {text}",
+        reply.status
+    )))
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,26 @@
+//! Clients of the platform.
+//!
+//! [`ObjectApi`] holds everything that must last: versioned objects with
+//! conditional updates and watches. [`CloudApi`] lists VMs, sends reclaim
+//! notices and creates and deletes VMs. Every answer to a write says whether
+//! the write took effect, including that this is unknown.
+
+mod cloud;
+mod objects;
+
+pub use cloud::CloudApi;
+pub use cloud::CreateOutcome;
+pub use cloud::Notice;
+pub use cloud::Notices;
+pub use cloud::Vm;
+pub use cloud::VmList;
+pub use cloud::VmSpec;
+pub use cloud::VmState;
+pub use objects::Condition;
+pub use objects::Object;
+pub use objects::ObjectApi;
+pub use objects::ObjectEntry;
+pub use objects::PutOutcome;
+pub use objects::Unreachable;
+pub use objects::Version;
+pub use objects::WatchOutcome;
--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,255 @@
+//! A caller as applications write them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::StreamExt;
+use http_body_util::BodyStream;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use lycheehaven_net::Body;
+use lycheehaven_net::CallError;
+use lycheehaven_net::Caller;
+use lycheehaven_net::OpenError;
+use lycheehaven_net::Reply;
+use lycheehaven_net::open_once;
+use serde_json::Value;
+use serde_json::json;
+
+const CONNECT_WAIT: Duration = Duration::from_secs(2);
+const ANSWER_WAIT: Duration = Duration::from_secs(60);
+
+/// A caller with a workspace's key.
+#[derive(Debug, Clone)]
+pub struct Client {
+    key: String,
+    caller: Caller,
+}
+
+/// What a caller has received of a streamed answer.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Received {
+    /// Identifier of the request.
+    pub id: String,
+    /// Text of all tokens.
+    pub text: String,
+    /// Value of the last event's `id` field: tokens received.
+    pub tokens: usize,
+    /// Reason with which the answer ended, if it did.
+    pub finish: Option<String>,
+    /// Kind of the error event, if one came.
+    pub error: Option<String>,
+    /// Whether the entry said that the answer goes on elsewhere.
+    pub moved: bool,
+}
+
+/// A streamed answer under way.
+pub struct TokenStream {
+    /// What was received.
+    pub received: Received,
+    body: BodyStream<Incoming>,
+    buffer: String,
+}
+
+impl Client {
+    /// A caller that carries `key`.
+    pub fn new(key: &str) -> Self {
+        let caller = Caller::new().with_header("authorization", format!("Bearer {key}"));
+        Self {
+            key: key.into(),
+            caller,
+        }
+    }
+
+    /// Begins a streamed completion.
+    pub async fn stream(&self, addr: SocketAddr, prompt: &str) -> Result<TokenStream, OpenError> {
+        let body = json!({
+            "model": "poleer-llm", "prompt": prompt, "stream": true, "max_tokens": 100_000,
+        });
+        let request = self
+            .request(addr, Method::POST, "/v1/completions")
+            .header("content-type", "application/json")
+            .body(Body::full(
+                serde_json::to_vec(&body).expect("JSON serializes"),
+            ))
+            .expect("request parts are valid");
+        let response = open_once(addr, request, CONNECT_WAIT, ANSWER_WAIT).await?;
+        Ok(TokenStream::new(response, Received::default()))
+    }
+
+    /// Resumes a streamed answer after what was received.
+    pub async fn resume(
+        &self,
+        addr: SocketAddr,
+        received: &Received,
+    ) -> Result<TokenStream, OpenError> {
+        let path = format!("/v1/requests/{}", received.id);
+        let request = self
+            .request(addr, Method::GET, &path)
+            .header("accept", "text/event-stream")
+            .header("last-event-id", received.tokens.to_string())
+            .body(Body::full(""))
+            .expect("request parts are valid");
+        let response = open_once(addr, request, CONNECT_WAIT, ANSWER_WAIT).await?;
+        let received = Received {
+            moved: false,
+            error: None,
+            ..received.clone()
+        };
+        Ok(TokenStream::new(response, received))
+    }
+
+    /// Streams a completion to its end, resuming through the other `entries`
+    /// whenever the connection breaks or the answer moves.
+    pub async fn stream_to_end(&self, entries: &[SocketAddr], prompt: &str) -> Received {
+        let deadline = Instant::now() + ANSWER_WAIT;
+        let mut received = Received::default();
+        for addr in entries.iter().cycle() {
+            if Instant::now() > deadline {
+                return received;
+            }
+            let opened = if received.id.is_empty() {
+                self.stream(*addr, prompt).await
+            } else {
+                self.resume(*addr, &received).await
+            };
+            if let Ok(mut stream) = opened {
+                while stream.next().await {}
+                let unknown = stream.received.error.as_deref() == Some("unknown_request");
+                if !unknown && !stream.received.id.is_empty() {
+                    received = stream.received;
+                }
+            }
+            if received.finish.is_some() || received.error.is_some() {
+                return received;
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        received
+    }
+
+    /// Asks for a whole completion.
+    pub async fn complete(&self, addr: SocketAddr, prompt: &str) -> Result<Reply, CallError> {
+        let body = json!({"model": "poleer-llm", "prompt": prompt, "max_tokens": 100_000});
+        let body = serde_json::to_vec(&body).expect("JSON serializes");
+        self.caller
+            .call(Method::POST, addr, "/v1/completions", body, ANSWER_WAIT)
+            .await
+    }
+
+    /// Calls a plain service, with an idempotency key if given.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<Reply, CallError> {
+        let path = format!("/v1/services/{path}");
+        let headers: Vec<(&str, String)> = key
+            .map(|key| ("idempotency-key", key.to_owned()))
+            .into_iter()
+            .collect();
+        self.caller
+            .call_with(method, addr, &path, &headers, body.to_owned(), ANSWER_WAIT)
+            .await
+    }
+
+    fn request(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+    ) -> hyper::http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", addr.to_string())
+            .header("authorization", format!("Bearer {}", self.key))
+    }
+}
+
+impl TokenStream {
+    fn new(response: Response<Incoming>, mut received: Received) -> Self {
+        if response.status() == 200 {
+            let id = response
+                .headers()
+                .get("x-request-id")
+                .and_then(|v| v.to_str().ok());
+            received.id = id.unwrap_or_default().to_owned();
+        }
+        Self {
+            received,
+            body: BodyStream::new(response.into_body()),
+            buffer: String::new(),
+        }
+    }
+
+    /// Receives more of the answer; `false` at its end, or when the connection
+    /// ends before.
+    pub async fn next(&mut self) -> bool {
+        if self.received.finish.is_some() || self.received.error.is_some() || self.received.moved {
+            return false;
+        }
+        let frame = compio::time::timeout(ANSWER_WAIT, self.body.next()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    self.buffer.push_str(&String::from_utf8_lossy(&data));
+                    self.parse();
+                }
+                true
+            }
+            _ => {
+                // An error answer is a plain JSON body without event framing.
+                if let Ok(value) = serde_json::from_str::<Value>(&self.buffer) {
+                    self.received.error = value["error"]["kind"].as_str().map(str::to_owned);
+                }
+                false
+            }
+        }
+    }
+
+    /// Receives until at least `count` tokens have come.
+    pub async fn receive(&mut self, count: usize) {
+        while self.received.tokens < count && self.next().await {}
+    }
+
+    fn parse(&mut self) {
+        while let Some(end) = self.buffer.find("\n\n") {
+            let event: String = self.buffer.drain(..end + 2).collect();
+            self.apply(&event);
+        }
+    }
+
+    fn apply(&mut self, event: &str) {
+        let field = |name: &str| event.lines().find_map(|line| line.strip_prefix(name));
+        let data = field("data: ").unwrap_or_default();
+        let value: Value = serde_json::from_str(data).unwrap_or_default();
+        match field("event: ") {
+            Some("error") => {
+                self.received.error = value["error"]["kind"].as_str().map(str::to_owned);
+                return;
+            }
+            Some("moved") => {
+                self.received.moved = true;
+                return;
+            }
+            _ => {}
+        }
+        let choice = &value["choices"][0];
+        self.received
+            .text
+            .push_str(choice["text"].as_str().unwrap_or_default());
+        if let Some(tokens) = field("id: ").and_then(|text| text.parse().ok()) {
+            self.received.tokens = tokens;
+        }
+        if let Some(reason) = choice["finish_reason"].as_str() {
+            self.received.finish = Some(reason.to_owned());
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,132 @@
+//! Plain-service stand-in: prices, quotes and charges.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use lycheehaven_net::Body;
+use lycheehaven_net::bytes_response;
+use lycheehaven_net::json_response;
+use lycheehaven_net::read_body;
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+use crate::server::ServerThread;
+use crate::server::serve_forever;
+
+/// A call that ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// HTTP method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// State of the plain service.
+#[derive(Debug, Default)]
+pub struct ServiceState {
+    /// Calls that ran, in order.
+    pub calls: Vec<Call>,
+    /// Prices by item.
+    pub prices: BTreeMap<String, u64>,
+    /// Time that each call takes.
+    pub delay: Duration,
+}
+
+impl ServiceState {
+    /// How many calls ran with this idempotency key.
+    pub fn runs_of(&self, key: &str) -> usize {
+        self.calls
+            .iter()
+            .filter(|call| call.key.as_deref() == Some(key))
+            .count()
+    }
+}
+
+/// A running plain service.
+#[derive(Debug)]
+pub struct PlainService {
+    state: Arc<Mutex<ServiceState>>,
+    server: ServerThread,
+}
+
+impl PlainService {
+    /// Starts on `addr`.
+    pub fn start(addr: SocketAddr) -> Self {
+        let state = Arc::new(Mutex::new(ServiceState::default()));
+        let shared = state.clone();
+        let server = ServerThread::start(addr, CancellationToken::new(), move |listener| {
+            serve_forever(listener, move |request| handle(shared.clone(), request))
+        });
+        Self { state, server }
+    }
+
+    /// Address of the service.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// The state, for driving and inspecting it.
+    pub fn state(&self) -> MutexGuard<'_, ServiceState> {
+        self.state.lock().expect("service state is never poisoned")
+    }
+
+    /// Stops the service without a farewell.
+    pub fn kill(&mut self) {
+        self.server.kill();
+    }
+}
+
+async fn handle(state: Arc<Mutex<ServiceState>>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = read_body(body, 1 << 20, Duration::from_secs(10)).await else {
+        return bytes_response(400, "text/plain", "unreadable body");
+    };
+    let key = parts
+        .headers
+        .get("idempotency-key")
+        .and_then(|value| value.to_str().ok());
+    let call = Call {
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        key: key.map(str::to_owned),
+        body: body.to_vec(),
+    };
+    // The call counts as run when it is received, before its answer.
+    let (answer, delay) = {
+        let mut state = state.lock().expect("service state is never poisoned");
+        let number = state.calls.len() + 1;
+        let answer = run(&state, &parts.method, &call.path, number);
+        state.calls.push(call);
+        (answer, state.delay)
+    };
+    if !delay.is_zero() {
+        compio::time::sleep(delay).await;
+    }
+    answer
+}
+
+fn run(state: &ServiceState, method: &Method, path: &str, number: usize) -> Response<Body> {
+    if let Some(item) = path.strip_prefix("/price/") {
+        return match state.prices.get(item) {
+            Some(price) => json_response(200, &json!({"item": item, "price": price})),
+            None => json_response(404, &json!({"item": item})),
+        };
+    }
+    if method == Method::POST {
+        return json_response(200, &json!({"path": path, "number": number}));
+    }
+    bytes_response(404, "text/plain", "no such path")
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,27 @@
+//! Vocabulary shared by every other crate: names, identifiers, the clock and
+//! the closed table of errors. It does no I/O.
+
+mod clock;
+mod error;
+mod ids;
+
+pub use clock::Clock;
+pub use clock::ManualClock;
+pub use clock::SystemClock;
+pub use error::ErrorBody;
+pub use error::ErrorKind;
+pub use error::Failure;
+pub use error::Outcome;
+pub use error::RetryAdvice;
+pub use ids::Digest;
+pub use ids::Incarnation;
+pub use ids::Name;
+pub use ids::RequestId;
+pub use ids::rendezvous;
+
+/// Hash map with a fast, non-cryptographic hasher. Keys chosen by callers are
+/// hashed to [`Digest`] before they are used here.
+pub type HashMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with the hasher of [`HashMap`].
+pub type HashSet<K> = rustc_hash::FxHashSet<K>;
--- /dev/null
+++ b/crates/upstream/src/plain.rs
@@ -0,0 +1,102 @@
+//! Calls to plain services.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Bytes;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use lycheehaven_net::Body;
+use lycheehaven_net::OpenError;
+use lycheehaven_net::open_once;
+use lycheehaven_net::read_body;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Largest answer of a plain service.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// A call to be forwarded.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PlainCall {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query at the service.
+    pub path: String,
+    /// Content type of the body.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Idempotency key, passed on for the service's own records.
+    pub key: Option<String>,
+}
+
+/// A plain service's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlainAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Sends `call` to `addr` once and reads the whole answer.
+///
+/// # Errors
+/// [`OpenError::NotSent`] only if no byte of the call was sent.
+pub async fn send_once(
+    addr: SocketAddr,
+    call: &PlainCall,
+    connect: Duration,
+    wait: Duration,
+) -> Result<PlainAnswer, OpenError> {
+    let request = build_request(addr, call).map_err(OpenError::NotSent)?;
+    let response = open_once(addr, request, connect, wait).await?;
+    let status = response.status().as_u16();
+    let content_type = header_text(response.headers());
+    let body = read_body(
+        response.into_body().map_err(std::io::Error::other),
+        ANSWER_LIMIT,
+        wait,
+    )
+    .await
+    .map_err(|failure| OpenError::Uncertain(failure.message))?;
+    Ok(PlainAnswer {
+        status,
+        content_type,
+        body: body.to_vec(),
+    })
+}
+
+fn header_text(headers: &HeaderMap) -> Option<String> {
+    headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned)
+}
+
+fn build_request(addr: SocketAddr, call: &PlainCall) -> Result<Request<Body>, String> {
+    let method = Method::from_bytes(call.method.as_bytes()).map_err(|cause| cause.to_string())?;
+    let mut request = Request::builder()
+        .method(method)
+        .uri(&call.path)
+        .header(HOST, addr.to_string())
+        .body(Body::full(Bytes::from(call.body.clone())))
+        .map_err(|cause| cause.to_string())?;
+    if let Some(text) = &call.content_type {
+        let value = HeaderValue::from_str(text).map_err(|cause| cause.to_string())?;
+        request.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    if let Some(text) = &call.key {
+        let value = HeaderValue::from_str(text).map_err(|cause| cause.to_string())?;
+        request.headers_mut().insert("idempotency-key", value);
+    }
+    Ok(request)
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Integration tests with real entry processes.
+
+mod path;
+mod support;
--- /dev/null
+++ b/tests/all/support.rs
@@ -0,0 +1,42 @@
+//! Helpers shared by the integration tests.
+
+use lycheehaven_standins::Client;
+use lycheehaven_standins::Cluster;
+use lycheehaven_standins::EngineParams;
+use lycheehaven_standins::WORKSPACE_KEY;
+
+/// The daemon under test.
+pub(crate) const DAEMON: &str = env!("CARGO_BIN_EXE_lycheehaven");
+
+/// Runs an asynchronous test on an event loop of its own.
+pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
+    runtime.block_on(test)
+}
+
+/// A caller of workspace `riigi`.
+pub(crate) fn client() -> Client {
+    Client::new(WORKSPACE_KEY)
+}
+
+/// A joined cluster: entries `(name, domain)`, engines `(name, domain)` of the
+/// model service and one plain service.
+pub(crate) async fn cluster(
+    extra: &str,
+    entries: &[(&str, &str)],
+    engines: &[(&str, &str)],
+    params: EngineParams,
+) -> Cluster {
+    let mut cluster = Cluster::new(DAEMON);
+    cluster.extra = extra.into();
+    for (name, domain) in engines {
+        cluster.add_engine(name, domain, "poleer-llm", params.clone());
+    }
+    cluster.add_service("price-1", entries[0].1, "hinnalaud");
+    for (name, domain) in entries {
+        cluster.add_entry(name, domain);
+    }
+    cluster.wait_until_joined().await;
+    cluster.declare_default().await;
+    cluster
+}
