Place upstreams under a lease with fencing numbers

Cause: declared replicas and versions were not kept by anyone, and the promise about a holder that acts past its lease had no mechanism. Change: a pure lease keeper (reliable for 60% of its length from before the renewal was sent; challengers wait a whole length by their own clock), a pure comparison of declared and observed VMs and models, and the loop that feeds them. Names of created VMs follow from their slot, so a lost answer buys once.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::node::Node;
 use crate::node::spawn;
 use crate::peer_api;
+use crate::place;
 use crate::plain;
 use crate::replicate;
 use crate::watch;
@@ -98,6 +99,9 @@
     spawn(load::run(node.clone()));
     spawn(replicate::collect_garbage(node.clone()));
     spawn(plain::collect_claims(node.clone()));
+    if node.settings.placement.enabled {
+        spawn(place::run(node.clone()));
+    }
     // The first exchange and load reports make the first decisions better, but
     // nothing depends on them.
     node.ready.set(true);
--- a/crates/entry/src/evacuate.rs
+++ b/crates/entry/src/evacuate.rs
@@ -201,11 +201,17 @@
     let order = ImportOrder { source, request };
     let deadline = node.now() + wait;
     for _ in 0..EXPORT_TRIES {
-        let Some(target) = choose_target(node, record) else { break };
+        let Some(target) = choose_target(node, record) else {
+            break;
+        };
         let addr = node.table.borrow().get(&target)?.addr;
         let left = deadline.saturating_duration_since(node.now());
         let imported = node.engines.import(addr, &order, left).await.is_ok();
-        let leaving = node.table.borrow().get(&target).is_none_or(|upstream| upstream.leaving);
+        let leaving = node
+            .table
+            .borrow()
+            .get(&target)
+            .is_none_or(|upstream| upstream.leaving);
         if imported && !leaving {
             return Some(target);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,7 +8,8 @@
 //!   plain services, `claimant` their claims;
 //! - `watch` follows the platform, `exchange` the peers, `load` the engines;
 //! - `evacuate` empties upstreams that leave, `replicate` copies records to a
-//!   peer, `handover` gives them away when this entry leaves.
+//!   peer, `handover` gives them away when this entry leaves;
+//! - `place` keeps the declared upstreams while this entry holds the lease.
 
 mod admin;
 mod boot;
@@ -27,6 +28,7 @@
 mod node;
 mod peer_api;
 mod peer_client;
+mod place;
 mod plain;
 mod record;
 mod relay;
--- a/crates/platform/src/cloud.rs
+++ b/crates/platform/src/cloud.rs
@@ -72,7 +72,7 @@
 }
 
 /// A VM to create.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmSpec {
     /// Name, derived from the purpose so that asking twice buys once.
     pub name: Name,
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -60,7 +60,11 @@
 impl Cluster {
     /// A cluster of a platform alone. `binary` is the daemon.
     pub fn new(binary: impl AsRef<Path>) -> Self {
-        let platform = Platform::start(any_port());
+        Self::on(Platform::start(any_port()), binary)
+    }
+
+    /// A cluster on a platform that was started already.
+    pub fn on(platform: Platform, binary: impl AsRef<Path>) -> Self {
         Self {
             platform_addr: platform.addr(),
             platform,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod partition;
 mod path;
+mod placement;
 mod poison;
 mod reclaim;
 mod stop;
