Check histories of seeded fault combinations

Cause: single faults were covered, their combinations were not, and nothing decided from records alone whether a promise was broken. Change: a history checker with eight rules, each with a history it must refuse, behind `lycheectl verify`; a seeded test that draws kills, reclaims, freezes, stops, outages, lost answers and patches under streams and quotes. Streams are answered only once the replica holds the request.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -11,6 +11,7 @@
 use crate::output;
 use crate::output::ExitCode;
 use crate::show;
+use crate::verify;
 
 const USAGE: &str = "\
 Usage: lycheectl [OPTIONS] COMMAND
@@ -23,6 +24,7 @@
   vms                             list VMs and their load
   drain                           stop the entry after its requests
   explain REQUEST                 show the decisions about a request
+  verify FILE                     check a recorded history for the promises
   key                             print a new idempotency key";
 
 const ENTRY_VARIABLE: &str = "LYCHEEHAVEN_ENTRY";
@@ -74,6 +76,7 @@
         ["vms"] => show::vms(&context(&matches)?).await,
         ["drain"] => show::drain(&context(&matches)?).await,
         ["explain", request] => show::explain(&context(&matches)?, request).await,
+        ["verify", file] => verify::run(file, matches.opt_present("json")),
         _ => Err(CtlError::usage(format!(
             "unknown command: {}\n{USAGE}",
             words.join(" ")
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,6 +9,7 @@
 mod config_cmd;
 mod output;
 mod show;
+mod verify;
 
 pub use command::run;
 pub use output::ExitCode;
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -28,6 +28,9 @@
 /// Period of comments that keep an idle stream open.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
+/// Longest wait for a replica before an answer begins.
+const REPLICA_WAIT: Duration = Duration::from_millis(1500);
+
 /// Chunks buffered towards a caller.
 const BUFFER: usize = 1;
 
@@ -38,6 +41,7 @@
     stream: bool,
     from: usize,
 ) -> Result<Response<Body>, Failure> {
+    wait_for_replica(&record).await;
     let mut response = if stream {
         stream_response(node, record.clone(), from)
     } else {
@@ -48,6 +52,16 @@
     Ok(response)
 }
 
+/// Waits until the replica has the request, so that what the caller is told is
+/// accepted survives the loss of this entry. A replica that can't be reached is
+/// replaced meanwhile.
+async fn wait_for_replica(record: &Record) {
+    let held = record.wait_until(|record| {
+        record.introduced.get() || record.replica.borrow().is_none() || record.is_over()
+    });
+    let _ = compio::time::timeout(REPLICA_WAIT, held).await;
+}
+
 fn stream_response(node: &Rc<Node>, record: Rc<Record>, from: usize) -> Response<Body> {
     let (sender, body) = Body::channel(BUFFER);
     let mut response = bytes_response(200, "text/event-stream", "");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod placement;
 mod poison;
 mod reclaim;
+mod seeded;
 mod stop;
 mod support;
