Measure the exchange at 420 entries and cut it to size

Ruled out: larger samples (more bytes still). Change: messages without field names; heartbeats without address and domain, which the VM list gives; all of the own domain but only a window of the others; longer patience with other domains, and a failed call counts at once; demand of entries not heard of is extrapolated.

--- a/crates/entry/src/claimant.rs
+++ b/crates/entry/src/claimant.rs
@@ -19,6 +19,7 @@
 use lycheehaven_platform::PutOutcome;
 use lycheehaven_platform::Version;
 use lycheehaven_types::HashMap;
+use lycheehaven_types::Name;
 use lycheehaven_types::rendezvous;
 
 use crate::metrics::kind;
@@ -101,15 +102,15 @@
 /// Commits a claim, through the shard's owner if it can be reached. The owner
 /// merely batches; the platform's conditional update decides.
 pub(crate) async fn claim(node: &Rc<Node>, shard: ShardId, claim: Claim) -> ClaimReply {
-    if let Some(addr) = remote_owner(node, shard) {
+    if let Some((owner, addr)) = remote_owner(node, shard) {
         let ask = ClaimAsk {
             shard,
             claim: claim.clone(),
         };
-        if let Ok(reply) = peer_client::claim(node, addr, &ask).await
-            && reply != ClaimReply::Unavailable
-        {
-            return count(node, reply);
+        match peer_client::claim(node, addr, &ask).await {
+            Ok(ClaimReply::Unavailable) => {}
+            Ok(reply) => return count(node, reply),
+            Err(_) => node.peers.borrow_mut().mark_failed(&owner),
         }
     }
     let reply = claim_here(node, shard, claim).await;
@@ -163,7 +164,7 @@
         .collect()
 }
 
-fn remote_owner(node: &Node, shard: ShardId) -> Option<std::net::SocketAddr> {
+fn remote_owner(node: &Node, shard: ShardId) -> Option<(Name, std::net::SocketAddr)> {
     let peers = node.peers.borrow();
     let serving = peers.serving(node.now());
     let key = format!("claims/{}", shard.shard);
@@ -171,7 +172,7 @@
     let owner = order
         .first()
         .filter(|owner| ***owner != node.settings.name)?;
-    peers.address(owner)
+    peers.address(owner).map(|addr| ((*owner).clone(), addr))
 }
 
 fn worker(node: &Node, shard: ShardId) -> Rc<Worker> {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -20,16 +20,16 @@
 use crate::watch::news;
 
 /// Leaving VMs in one message.
-const LEAVING_LIMIT: usize = 24;
+const LEAVING_LIMIT: usize = 8;
 
 /// Workspaces in one message.
-const USAGE_LIMIT: usize = 16;
+const USAGE_LIMIT: usize = 6;
 
 /// Upstream loads in one message.
-const LOAD_LIMIT: usize = 24;
+const LOAD_LIMIT: usize = 8;
 
 /// Refused requests in one message.
-const REFUSED_LIMIT: usize = 8;
+const REFUSED_LIMIT: usize = 2;
 
 /// Exchanges with one peer each period, and at once after a new configuration.
 pub(crate) async fn run(node: Rc<Node>) {
@@ -64,11 +64,11 @@
     let now = node.now();
     let peers = node.peers.borrow();
     let me = peers.me();
+    let sample = peers.sample(now);
     let own = node.shares.borrow().own(USAGE_LIMIT, now);
     let usage = own.into_iter().map(|(workspace, demand)| Usage {
-        entry: me.name.clone(),
         workspace,
-        demand,
+        demand: demand as f32,
     });
     let refused = node.suspicion.borrow().refused(REFUSED_LIMIT);
     let refused = refused.into_iter().map(|(digest, losses)| Refused {
@@ -82,7 +82,8 @@
         version: PROTOCOL_VERSION,
         from: me.clone(),
         config: node.declared().number,
-        members: peers.sample(now),
+        members: sample.members,
+        beats: sample.beats,
         leaving: node.leaving.borrow().latest(LEAVING_LIMIT),
         usage: usage.collect(),
         loads: if near {
@@ -103,13 +104,21 @@
         for member in &message.members {
             peers.merge(member, now);
         }
+        for beat in &message.beats {
+            peers.merge_beat(beat, now);
+        }
     }
     let leaving = message.leaving.iter();
     let wave = leaving.map(|(name, incarnation)| news(name, *incarnation, DEFAULT_NOTICE));
     evacuate::on_leaving(node, wave.collect());
     for usage in &message.usage {
         let mut shares = node.shares.borrow_mut();
-        shares.hear(&usage.entry, &usage.workspace, usage.demand, now);
+        shares.hear(
+            &message.from.name,
+            &usage.workspace,
+            f64::from(usage.demand),
+            now,
+        );
     }
     for load in &message.loads {
         node.table
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -15,6 +15,7 @@
 use lycheehaven_limits::Topology;
 use lycheehaven_net::Caller;
 use lycheehaven_peers::Leaving;
+use lycheehaven_peers::Listed;
 use lycheehaven_peers::MemberDigest;
 use lycheehaven_peers::Peers;
 use lycheehaven_peers::Timing;
@@ -184,8 +185,16 @@
         }
         let (entries, upstreams): (Vec<&Vm>, Vec<&Vm>) =
             vms.iter().partition(|vm| &*vm.service == ENTRY_SERVICE);
-        let addresses = entries.iter().map(|vm| (vm.name.clone(), vm.addr));
-        self.peers.borrow_mut().set_addresses(addresses);
+        let listed = entries.iter().map(|vm| {
+            (
+                vm.name.clone(),
+                Listed {
+                    domain: vm.domain.clone(),
+                    addr: vm.addr,
+                },
+            )
+        });
+        self.peers.borrow_mut().set_listed(listed);
         let leaving = self.leaving.borrow();
         self.table.borrow_mut().sync(upstreams.iter().map(|vm| {
             let id = UpstreamId {
--- a/crates/entry/src/peer_api.rs
+++ b/crates/entry/src/peer_api.rs
@@ -43,6 +43,9 @@
 /// Time for a message to arrive.
 const MESSAGE_WAIT: Duration = Duration::from_secs(10);
 
+/// Content type of messages.
+const MESSAGE_TYPE: &str = "application/msgpack";
+
 /// Prefix of fetching an answer on behalf of a caller.
 const REQUESTS_PREFIX: &str = "/peer/requests/";
 
@@ -115,15 +118,18 @@
     }
     exchange::merge(node, &message);
     let near = message.from.domain == node.settings.domain;
-    let reply = encode(&exchange::build(node, near));
-    node.metrics.exchange_bytes.inc_by(body.len() as u64);
+    let reply = rmp_serde::to_vec(&exchange::build(node, near));
+    let reply = reply.expect("messages serialize to MessagePack");
+    node.metrics
+        .exchange_bytes
+        .inc_by((body.len() + reply.len()) as u64);
     if message.config > node.declared().number
         && let Some(addr) = node.peers.borrow().address(&message.from.name)
     {
         let node = node.clone();
         spawn(async move { exchange::pull_config(&node, addr).await });
     }
-    Ok(reply)
+    Ok(bytes_response(200, MESSAGE_TYPE, reply))
 }
 
 fn boot_state(node: &Node) -> BootState {
@@ -158,6 +164,6 @@
 }
 
 fn encode(value: &impl Serialize) -> Response<Body> {
-    let bytes = rmp_serde::to_vec_named(value).expect("messages serialize to MessagePack");
-    bytes_response(200, "application/msgpack", bytes)
+    let bytes = rmp_serde::to_vec(value).expect("messages serialize to MessagePack");
+    bytes_response(200, MESSAGE_TYPE, bytes)
 }
--- a/crates/entry/src/peer_client.rs
+++ b/crates/entry/src/peer_client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::Method;
 use lycheehaven_net::CallError;
 use lycheehaven_peers::Exchange;
 use lycheehaven_types::Name;
@@ -34,7 +35,16 @@
     addr: SocketAddr,
     message: &Exchange,
 ) -> Result<Exchange, CallError> {
-    post(node, addr, "/peer/exchange", message, CALL_TIMEOUT).await
+    let body = rmp_serde::to_vec(message).expect("messages serialize to MessagePack");
+    let sent = body.len();
+    let reply = node
+        .caller
+        .call(Method::POST, addr, "/peer/exchange", body, CALL_TIMEOUT)
+        .await?;
+    node.metrics
+        .exchange_bytes
+        .inc_by((sent + reply.body.len()) as u64);
+    reply.message()
 }
 
 pub(crate) async fn boot_state(node: &Node, addr: SocketAddr) -> Option<BootState> {
--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -113,9 +113,12 @@
         };
         match acks.filter(|acks| acks.len() == batch.len()) {
             Some(acks) => confirm(&node, &batch, &acks),
-            None => batch
-                .iter()
-                .for_each(|record| replace_replica(&node, record, &peer)),
+            None => {
+                node.peers.borrow_mut().mark_failed(&peer);
+                batch
+                    .iter()
+                    .for_each(|record| replace_replica(&node, record, &peer));
+            }
         }
     }
 }
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -89,7 +89,7 @@
         let own = self.own.get(workspace).map_or(0.0, |(demand, last)| {
             fade(*demand, now.duration_since(*last))
         });
-        let others = self.peer_demand(workspace, now);
+        let others = self.peer_demand(workspace, topology, now);
         let total = own + others;
         let by_demand = if total > 0.0 {
             own / total
@@ -99,16 +99,20 @@
         whole * (EVEN_PART / sharers + (1.0 - EVEN_PART) * by_demand)
     }
 
-    fn peer_demand(&self, workspace: &str, now: Instant) -> f64 {
+    /// Demand at the other live entries. In a large fleet only some of them are
+    /// heard of in time; the others are taken to be like those.
+    fn peer_demand(&self, workspace: &str, topology: Topology, now: Instant) -> f64 {
         let counters = self
             .peers
             .get(workspace)
             .into_iter()
             .flat_map(|peers| peers.values());
-        counters
-            .filter(|counter| now.duration_since(counter.heard) < STALE)
-            .map(|counter| counter.demand)
-            .sum()
+        let fresh = counters.filter(|counter| now.duration_since(counter.heard) < STALE);
+        let (heard, demand) = fresh.fold((0_usize, 0.0), |(heard, sum), counter| {
+            (heard + 1, sum + counter.demand)
+        });
+        let others = topology.alive.saturating_sub(1);
+        demand * (others as f64 / heard.max(1) as f64).max(1.0)
     }
 }
 
--- a/crates/net/src/caller.rs
+++ b/crates/net/src/caller.rs
@@ -152,7 +152,7 @@
         value: &impl Serialize,
         wait: Duration,
     ) -> Result<T, CallError> {
-        let body = rmp_serde::to_vec_named(value).expect("messages serialize to MessagePack");
+        let body = rmp_serde::to_vec(value).expect("messages serialize to MessagePack");
         let reply = self.call(Method::POST, addr, path, body, wait).await?;
         expect_success(reply)?.message()
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -9,10 +9,13 @@
 mod message;
 
 pub use leaving::Leaving;
+pub use membership::Listed;
 pub use membership::Member;
 pub use membership::Partner;
 pub use membership::Peers;
+pub use membership::Sample;
 pub use membership::Timing;
+pub use message::Beat;
 pub use message::Exchange;
 pub use message::LoadDigest;
 pub use message::MemberDigest;
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -7,10 +7,21 @@
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 
+use crate::message::Beat;
 use crate::message::MemberDigest;
 
-/// Members told about in one message.
-const SAMPLE: usize = 16;
+/// Members of the same failure domain told about in one message.
+const NEAR_SAMPLE: usize = 32;
+
+/// Members of other failure domains told about in one message.
+const FAR_SAMPLE: usize = 8;
+
+/// Members introduced in one message.
+const NEW_SAMPLE: usize = 2;
+
+/// How many times longer than within a failure domain a member of another one
+/// may stay silent. News of it comes by fewer messages.
+const FAR_FACTOR: u32 = 20;
 
 /// How long a dead member is remembered, so that late news of it is not taken
 /// for a new member.
@@ -21,10 +32,29 @@
 pub struct Timing {
     /// Every how many exchanges one goes outside the failure domain.
     pub outside_every: u32,
-    /// Silence after which a member counts as dead.
+    /// Silence after which a member of the same failure domain counts as dead.
+    /// Others may stay silent longer; a failed call shows their death sooner.
     pub dead_after: Duration,
 }
 
+/// An entry as the VM list shows it.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    /// Failure domain.
+    pub domain: Name,
+    /// Address of its peer listener.
+    pub addr: SocketAddr,
+}
+
+/// What to tell about members in one message.
+#[derive(Debug, Clone, Default)]
+pub struct Sample {
+    /// Members to introduce.
+    pub members: Vec<MemberDigest>,
+    /// Heartbeats.
+    pub beats: Vec<Beat>,
+}
+
 /// Whom to exchange with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Partner {
@@ -41,6 +71,10 @@
     pub digest: MemberDigest,
     /// When its heartbeat last grew.
     pub heard: Instant,
+    /// When it became known.
+    pub since: Instant,
+    /// Whether a call to it failed since its heartbeat last grew.
+    pub failed: bool,
 }
 
 /// The entries as one of them sees them.
@@ -49,7 +83,7 @@
     me: MemberDigest,
     timing: Timing,
     members: HashMap<Name, Member>,
-    addresses: HashMap<Name, SocketAddr>,
+    listed: HashMap<Name, Listed>,
     rounds: u64,
 }
 
@@ -60,7 +94,7 @@
             me,
             timing,
             members: HashMap::default(),
-            addresses: HashMap::default(),
+            listed: HashMap::default(),
             rounds: 0,
         }
     }
@@ -75,10 +109,10 @@
         self.me.leaving = true;
     }
 
-    /// Takes over addresses from the VM list, which beat addresses that peers
-    /// pass on.
-    pub fn set_addresses(&mut self, addresses: impl IntoIterator<Item = (Name, SocketAddr)>) {
-        self.addresses = addresses
+    /// Takes over the entries of the VM list, whose addresses beat those that
+    /// peers pass on.
+    pub fn set_listed(&mut self, listed: impl IntoIterator<Item = (Name, Listed)>) {
+        self.listed = listed
             .into_iter()
             .filter(|(name, _)| *name != self.me.name)
             .collect();
@@ -93,15 +127,46 @@
         let known = self.members.get(&digest.name);
         let newer = known.is_none_or(|known| is_newer(digest, &known.digest));
         if newer {
+            let since = known.map_or(now, |known| known.since);
             let member = Member {
                 digest: digest.clone(),
                 heard: now,
+                since,
+                failed: false,
             };
             self.members.insert(digest.name.clone(), member);
         }
         newer
     }
 
+    /// Merges a heartbeat that a peer passed on. Beats of entries that are
+    /// neither listed nor known are ignored; other messages introduce them.
+    pub fn merge_beat(&mut self, beat: &Beat, now: Instant) {
+        let known = self.members.get(&beat.name).map(|member| &member.digest);
+        let domain = known.map(|digest| digest.domain.clone());
+        let domain = domain.or_else(|| self.listed.get(&beat.name).map(|l| l.domain.clone()));
+        let (Some(domain), Some(addr)) = (domain, self.address(&beat.name)) else {
+            return;
+        };
+        let digest = MemberDigest {
+            name: beat.name.clone(),
+            incarnation: beat.incarnation,
+            domain,
+            addr,
+            heartbeat: beat.heartbeat,
+            leaving: beat.leaving,
+        };
+        self.merge(&digest, now);
+    }
+
+    /// Records that a call to a member failed. It counts as dead until its
+    /// heartbeat is heard to grow.
+    pub fn mark_failed(&mut self, name: &str) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.failed = true;
+        }
+    }
+
     /// Begins a round: grows the heartbeat, forgets members long dead, and
     /// chooses whom to exchange with by the random number `draw`.
     pub fn next_partner(&mut self, draw: u64, now: Instant) -> Option<Partner> {
@@ -126,27 +191,33 @@
         pool.get(index).map(|partner| **partner)
     }
 
-    /// Members to tell about, a window that moves on with each round.
-    pub fn sample(&self, now: Instant) -> Vec<MemberDigest> {
-        let mut alive: Vec<&Member> = self
-            .members
-            .values()
-            .filter(|member| self.is_fresh(member, now))
-            .collect();
-        alive.sort_by_key(|member| std::cmp::Reverse(member.heard));
-        // Half of the window is the latest news, half wanders over the rest.
-        let news = alive.len().min(SAMPLE / 2);
-        let rest = &alive[news..];
-        let start = (self.rounds as usize * (SAMPLE / 2)) % rest.len().max(1);
-        let wandering = rest
+    /// What to tell about members: all of this failure domain, a window of the
+    /// others that moves on with each round, and those that became known last.
+    pub fn sample(&self, now: Instant) -> Sample {
+        let alive = self.alive(now);
+        let (near, far): (Vec<&Member>, Vec<&Member>) = alive
+            .into_iter()
+            .partition(|member| member.digest.domain == self.me.domain);
+        let near = self.window(&near, NEAR_SAMPLE);
+        let far = self.window(&far, FAR_SAMPLE);
+        let mut newest: Vec<&Member> = self.members.values().collect();
+        newest.sort_by_key(|member| std::cmp::Reverse(member.since));
+        let introduced = newest.into_iter().take(NEW_SAMPLE);
+        Sample {
+            members: introduced.map(|member| member.digest.clone()).collect(),
+            beats: near.into_iter().chain(far).map(beat_of).collect(),
+        }
+    }
+
+    fn window<'a>(&self, members: &[&'a Member], size: usize) -> Vec<&'a Member> {
+        let start = (self.rounds as usize * size) % members.len().max(1);
+        let count = members.len().min(size);
+        members
             .iter()
             .cycle()
             .skip(start)
-            .take(rest.len().min(SAMPLE / 2));
-        alive[..news]
-            .iter()
-            .chain(wandering)
-            .map(|member| member.digest.clone())
+            .take(count)
+            .copied()
             .collect()
     }
 
@@ -178,7 +249,10 @@
     /// Where to reach the named entry.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         let heard = || self.members.get(name).map(|member| member.digest.addr);
-        self.addresses.get(name).copied().or_else(heard)
+        self.listed
+            .get(name)
+            .map(|listed| listed.addr)
+            .or_else(heard)
     }
 
     /// Names of live members that are not stopping, this entry's included.
@@ -209,7 +283,9 @@
     }
 
     fn is_fresh(&self, member: &Member, now: Instant) -> bool {
-        now.duration_since(member.heard) < self.timing.dead_after
+        let near = member.digest.domain == self.me.domain;
+        let factor = if near { 1 } else { FAR_FACTOR };
+        !member.failed && now.duration_since(member.heard) < self.timing.dead_after * factor
     }
 
     /// All entries that can be exchanged with, and whether they share this
@@ -218,7 +294,7 @@
     fn partners(&self) -> Vec<Partner> {
         let known = self.members.keys();
         let listed = self
-            .addresses
+            .listed
             .keys()
             .filter(|name| !self.members.contains_key(*name));
         let mut names: Vec<&Name> = known.chain(listed).collect();
@@ -230,12 +306,22 @@
     }
 
     fn partner(&self, name: &Name) -> Option<Partner> {
-        let domain = self.members.get(name).map(|member| &member.digest.domain);
+        let heard = self.members.get(name).map(|member| &member.digest.domain);
+        let domain = heard.or_else(|| self.listed.get(name).map(|listed| &listed.domain));
         let near = domain.is_none_or(|domain| *domain == self.me.domain);
         self.address(name).map(|addr| Partner { addr, near })
     }
 }
 
+fn beat_of(member: &Member) -> Beat {
+    Beat {
+        name: member.digest.name.clone(),
+        incarnation: member.digest.incarnation,
+        heartbeat: member.digest.heartbeat,
+        leaving: member.digest.leaving,
+    }
+}
+
 /// Whether `fresh` is later than `known`. Incarnations of processes begin with
 /// their start time, so a restarted process replaces its earlier run.
 fn is_newer(fresh: &MemberDigest, known: &MemberDigest) -> bool {
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -29,15 +29,27 @@
     pub leaving: bool,
 }
 
-/// Demand of a workspace at one entry.
+/// Heartbeat of an entry that the receiver knows from the VM list or earlier
+/// messages. A third of the size of a [`MemberDigest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Name.
+    pub name: Name,
+    /// Which run of the process.
+    pub incarnation: Incarnation,
+    /// Grows while the process runs.
+    pub heartbeat: u64,
+    /// Whether the process is stopping.
+    pub leaving: bool,
+}
+
+/// Demand of a workspace at the sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
-    /// Entry that counted.
-    pub entry: Name,
     /// Workspace.
     pub workspace: Name,
     /// Requests per second, smoothed.
-    pub demand: f64,
+    pub demand: f32,
 }
 
 /// Load of one upstream as one entry read it.
@@ -81,11 +93,13 @@
     pub from: MemberDigest,
     /// Number of the configuration that the sender has in force.
     pub config: u64,
-    /// Some of the members that the sender knows.
+    /// Members that the receiver may not know yet.
     pub members: Vec<MemberDigest>,
+    /// Heartbeats of the sender's failure domain, and of some others.
+    pub beats: Vec<Beat>,
     /// VMs that are leaving.
     pub leaving: Vec<(Name, Incarnation)>,
-    /// Demand counters, the sender's own first.
+    /// The sender's own demand counters.
     pub usage: Vec<Usage>,
     /// The freshest upstream loads; only within a failure domain.
     pub loads: Vec<LoadDigest>,
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -29,6 +29,15 @@
 /// Key of workspace `caroni` in [`Cluster::declare_default`].
 pub const OTHER_KEY: &str = "caroni-secret-key";
 
+/// Short periods, so that failures are noticed within a test's patience.
+const TEST_TIMING: &str = "\
+exchange_ms = 100
+peer_dead_ms = 1500
+vm_poll_ms = 100
+load_poll_ms = 100
+watch_ms = 5000
+silence_ms = 5000";
+
 const CALL_WAIT: Duration = Duration::from_secs(10);
 
 /// How long states that must come about are waited for.
@@ -51,6 +60,8 @@
     pub services: Vec<(Name, PlainService)>,
     /// Platform address that entries started from now on use.
     pub platform_addr: SocketAddr,
+    /// Body of the `[timing]` table of entries started from now on.
+    pub timing: String,
     /// TOML added to the settings of entries started from now on.
     pub extra: String,
     binary: PathBuf,
@@ -71,6 +82,7 @@
             entries: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
+            timing: TEST_TIMING.into(),
             extra: String::new(),
             binary: binary.as_ref().into(),
             dir: tempfile::tempdir().expect("temporary folder can be made"),
@@ -124,8 +136,7 @@
         )
     }
 
-    /// Settings of an entry. Periods are short, so that failures are noticed
-    /// within a test's patience.
+    /// Settings of an entry.
     pub fn settings(&self, name: &str, domain: &str) -> String {
         let platform = self.platform_addr;
         let peers: Vec<String> = self
@@ -149,14 +160,10 @@
 cloud = "{platform}"
 timeout_ms = 1000
 [timing]
-exchange_ms = 100
-peer_dead_ms = 1500
-vm_poll_ms = 100
-load_poll_ms = 100
-watch_ms = 5000
-silence_ms = 5000
+{timing}
 {extra}
 "#,
+            timing = self.timing,
             extra = self.extra
         )
     }
--- /dev/null
+++ b/examples/capacity/gossip.rs
@@ -0,0 +1,228 @@
+//! Exchange among as many entries as the target has, as pure state machines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_peers::Exchange;
+use lycheehaven_peers::Listed;
+use lycheehaven_peers::LoadDigest;
+use lycheehaven_peers::MemberDigest;
+use lycheehaven_peers::PROTOCOL_VERSION;
+use lycheehaven_peers::Peers;
+use lycheehaven_peers::Timing;
+use lycheehaven_peers::Usage;
+use lycheehaven_types::Incarnation;
+use lycheehaven_types::Name;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::line;
+
+const DOMAINS: usize = 14;
+const WARM_UP: usize = 120;
+const ROUNDS: usize = 60;
+const SEEDS: u64 = 3;
+
+struct Entry {
+    peers: Peers,
+    number: u64,
+}
+
+struct Fleet {
+    entries: Vec<Entry>,
+    now: Instant,
+    random: StdRng,
+    bytes: usize,
+    messages: usize,
+    spent: Duration,
+}
+
+/// Prints size, cost, spread and false deaths for several fleet sizes.
+pub(crate) fn measure() {
+    line("\n## Exchange (pure, 14 failure domains, 1 s period)\n");
+    line("| entries | bytes/s per node | CPU us/s per node | near dead | far dead | spread s |");
+    line("|---|---|---|---|---|---|");
+    for count in [7, 60, 200, 420] {
+        for seed in 0..SEEDS {
+            measure_fleet(count, seed);
+        }
+    }
+}
+
+fn measure_fleet(count: usize, seed: u64) {
+    let mut fleet = Fleet::new(count, seed);
+    for _ in 0..WARM_UP {
+        fleet.round();
+    }
+    (fleet.bytes, fleet.messages, fleet.spent) = (0, 0, Duration::ZERO);
+    let (mut near_dead, mut far_dead) = (0, 0);
+    for _ in 0..ROUNDS {
+        fleet.round();
+        let (near, far) = fleet.falsely_dead();
+        near_dead += near;
+        far_dead += far;
+    }
+    let seconds = (ROUNDS * count) as f64;
+    let bytes = fleet.bytes as f64 / seconds;
+    let cpu = fleet.spent.as_secs_f64() * 1e6 / seconds;
+    let near_pairs = (ROUNDS * count * count.div_ceil(DOMAINS)) as f64;
+    let far_pairs = (ROUNDS * count * count) as f64;
+    let spread = fleet.spread();
+    line(format!(
+        "| {count} (seed {seed}) | {bytes:.0} | {cpu:.0} | {:.4}% | {:.4}% | {spread} |",
+        near_dead as f64 / near_pairs * 100.0,
+        far_dead as f64 / far_pairs * 100.0,
+    ));
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Self {
+        let now = Instant::now();
+        let timing = Timing {
+            outside_every: 3,
+            dead_after: Duration::from_secs(5),
+        };
+        let digests: Vec<MemberDigest> = (0..count).map(digest).collect();
+        let listed: Vec<(Name, Listed)> = digests
+            .iter()
+            .map(|d| {
+                (
+                    d.name.clone(),
+                    Listed {
+                        domain: d.domain.clone(),
+                        addr: d.addr,
+                    },
+                )
+            })
+            .collect();
+        let entries = digests.into_iter().map(|digest| {
+            let mut peers = Peers::new(digest, timing);
+            peers.set_listed(listed.iter().cloned());
+            Entry { peers, number: 0 }
+        });
+        let entries = entries.collect();
+        let random = StdRng::seed_from_u64(seed);
+        Self {
+            entries,
+            now,
+            random,
+            bytes: 0,
+            messages: 0,
+            spent: Duration::ZERO,
+        }
+    }
+
+    fn round(&mut self) {
+        self.now += Duration::from_secs(1);
+        for index in 0..self.entries.len() {
+            let draw = self.random.random();
+            let partner = self.entries[index].peers.next_partner(draw, self.now);
+            let Some(partner) = partner else { continue };
+            let other = usize::from(partner.addr.port()) - 1;
+            let started = Instant::now();
+            let asked = self.send(index, other, partner.near);
+            let answered = self.send(other, index, partner.near);
+            self.spent += started.elapsed();
+            // Both sides send one and receive one message.
+            self.bytes += 2 * (asked + answered);
+            self.messages += 2;
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, near: bool) -> usize {
+        let sender = &self.entries[from];
+        let message = message(&sender.peers, sender.number, self.now, near);
+        let bytes = rmp_serde::to_vec(&message).expect("messages serialize");
+        let received: Exchange = rmp_serde::from_slice(&bytes).expect("messages deserialize");
+        let receiver = &mut self.entries[to];
+        receiver.peers.merge(&received.from, self.now);
+        for member in &received.members {
+            receiver.peers.merge(member, self.now);
+        }
+        for beat in &received.beats {
+            receiver.peers.merge_beat(beat, self.now);
+        }
+        receiver.number = receiver.number.max(received.config);
+        bytes.len()
+    }
+
+    /// Pairs of which one wrongly takes the other for dead, within and across
+    /// failure domains.
+    fn falsely_dead(&self) -> (usize, usize) {
+        let (mut near, mut far) = (0, 0);
+        for entry in &self.entries {
+            for other in &self.entries {
+                let (me, other) = (entry.peers.me(), other.peers.me());
+                if entry.peers.is_alive(&other.name, self.now) {
+                    continue;
+                }
+                if me.domain == other.domain {
+                    near += 1
+                } else {
+                    far += 1
+                }
+            }
+        }
+        (near, far)
+    }
+
+    /// Seconds until a number known to one entry is known to all, by exchange
+    /// alone.
+    fn spread(&mut self) -> usize {
+        self.entries[0].number = 1;
+        let mut seconds = 0;
+        while self.entries.iter().any(|entry| entry.number == 0) && seconds < 300 {
+            self.round();
+            seconds += 1;
+        }
+        seconds
+    }
+}
+
+fn digest(index: usize) -> MemberDigest {
+    let port = u16::try_from(index + 1).expect("few entries");
+    MemberDigest {
+        name: format!("entry-{index:03}").into(),
+        incarnation: Incarnation(1 << 60),
+        domain: format!("domain-{:02}", index % DOMAINS).into(),
+        addr: SocketAddr::from(([10, 0, 0, 1], port)),
+        heartbeat: 0,
+        leaving: false,
+    }
+}
+
+/// A message as an entry with many workspaces and engines builds it.
+fn message(peers: &Peers, number: u64, now: Instant, near: bool) -> Exchange {
+    let me = peers.me();
+    let sample = peers.sample(now);
+    let usage = (0..6).map(|index| Usage {
+        workspace: format!("workspace-{index}").into(),
+        demand: 12.5,
+    });
+    let loads = (0..8).map(|index| LoadDigest {
+        vm: format!("engine-{index:04}").into(),
+        incarnation: Incarnation(index),
+        time: 1 << 40,
+        running: 20,
+        waiting: 3,
+        prefill: 4000,
+        rate: 12.0,
+        step_us: 30_000,
+        limit: 32,
+    });
+    Exchange {
+        version: PROTOCOL_VERSION,
+        from: me.clone(),
+        config: number,
+        members: sample.members,
+        beats: sample.beats,
+        leaving: (0..8)
+            .map(|index| (format!("engine-{index:04}").into(), Incarnation(7)))
+            .collect(),
+        usage: usage.collect(),
+        loads: if near { loads.collect() } else { Vec::new() },
+        refused: Vec::new(),
+    }
+}
--- /dev/null
+++ b/examples/capacity/main.rs
@@ -0,0 +1,73 @@
+//! Measures the slopes that `docs/CAPACITY.md` is worked out from, and prints
+//! its tables.
+//!
+//! `cargo run --release --example capacity [gossip|machines|processes|relay]`
+//! prints one part, or all of them. Started with a settings file it runs an
+//! entry, which is how it starts the processes that it measures.
+
+mod gossip;
+mod machines;
+mod processes;
+mod relay;
+
+use std::path::Path;
+
+use lycheehaven_config::Settings;
+
+fn main() {
+    let part = std::env::args().nth(1).unwrap_or_default();
+    if part.ends_with(".toml") {
+        return run_entry(Path::new(&part));
+    }
+    let wanted = |name: &str| part.is_empty() || part == name;
+    if wanted("gossip") {
+        gossip::measure();
+    }
+    if wanted("machines") {
+        machines::measure();
+    }
+    if wanted("processes") {
+        processes::measure();
+    }
+    if wanted("relay") {
+        relay::measure();
+    }
+}
+
+fn run_entry(file: &Path) {
+    let settings = Settings::load(file).expect("generated settings are valid");
+    lycheehaven_entry::start_logging(log::LevelFilter::Info).expect("logging starts");
+    let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
+    runtime
+        .block_on(lycheehaven_entry::run(settings))
+        .expect("entry runs");
+}
+
+/// Prints a line of a table.
+#[allow(clippy::print_stdout)]
+fn line(text: impl AsRef<str>) {
+    println!("{}", text.as_ref());
+}
+
+/// Least-squares line through `points`: intercept, slope and the largest
+/// residual.
+fn fit(points: &[(f64, f64)]) -> (f64, f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points
+        .iter()
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = if variance > 0.0 {
+        covariance / variance
+    } else {
+        0.0
+    };
+    let intercept = mean_y - slope * mean_x;
+    let residual = points
+        .iter()
+        .map(|(x, y)| (y - intercept - slope * x).abs());
+    (intercept, slope, residual.fold(0.0, f64::max))
+}
