Reserve a suspect's upstream before asking the peers

Two entries chose the same engine for two suspects at the same moment, each asked the other before it counted its own, and both were told that it was free; the crash then counted as the innocent's second. Ruled out: losses after probation, which count as late and need a third. Change: the reservation stands before the peers are asked; a refused attempt waits for a random time. Conclusion: of two contenders at least one now sees the other.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -99,7 +99,7 @@
         Self {
             exchange_ms: 1000,
             outside_every: 3,
-            peer_dead_ms: 5000,
+            peer_dead_ms: 8000,
             vm_poll_ms: 2000,
             load_poll_ms: 1000,
             watch_ms: 25_000,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -103,13 +103,25 @@
         return None;
     };
     let target = target_of(node, &vm, alone)?;
-    if alone && !suspects::may_try(node, record, &target.vm).await {
-        pause(RETRY_MS).await;
+    if alone && !reserve(node, record, &vm).await {
+        pause(RETRY_MS + node.draw() % RETRY_MS).await;
         return None;
     }
     Some(target)
 }
 
+/// Reserves an upstream for a suspect. The reservation stands before the peers
+/// are asked, so that of two entries that choose the same upstream at least one
+/// sees the other's.
+async fn reserve(node: &Rc<Node>, record: &Record, vm: &Name) -> bool {
+    node.table.borrow_mut().add_suspect(vm);
+    let free = suspects::may_try(node, record, vm).await;
+    if !free {
+        node.table.borrow_mut().remove_suspect(vm);
+    }
+    free
+}
+
 fn give_up(node: &Node, record: &Record) -> bool {
     let digest = record.request.digest;
     if node.suspicion.borrow().is_refused(digest, node.now()) {
@@ -172,9 +184,6 @@
     node.table
         .borrow_mut()
         .opened(&target.vm, tokens, &prompt.blocks);
-    if target.alone {
-        node.table.borrow_mut().add_suspect(&target.vm);
-    }
     let mut probation = Probation {
         target,
         limit: start + PROBATION_TOKENS,
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -13,17 +13,18 @@
 use crate::wire::SuspectNews;
 use crate::wire::SuspectReply;
 
-/// Tells the live peers that a suspect is about to be tried at `target` and
-/// says whether nothing stands against it.
+/// Tells the live peers that a suspect is about to be tried at `target`, which
+/// is reserved for it here, and says whether nothing stands against it.
 pub(crate) async fn may_try(node: &Rc<Node>, record: &Record, target: &Name) -> bool {
     let digest = record.request.digest;
     let replies = tell(node, digest, Some(target.clone())).await;
     let refused = node.suspicion.borrow().is_refused(digest, node.now());
-    let contended = node
+    let suspects = node
         .table
         .borrow()
         .get(target)
-        .is_none_or(|upstream| upstream.suspects > 0);
+        .map_or(0, |upstream| upstream.suspects);
+    let contended = suspects > 1;
     !refused && !contended && replies.iter().all(|reply| *reply == SuspectReply::Free)
 }
 
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -11,7 +11,7 @@
 use crate::message::MemberDigest;
 
 /// Members of the same failure domain told about in one message.
-const NEAR_SAMPLE: usize = 32;
+const NEAR_SAMPLE: usize = 12;
 
 /// Members of other failure domains told about in one message.
 const FAR_SAMPLE: usize = 8;
@@ -191,7 +191,7 @@
         pool.get(index).map(|partner| **partner)
     }
 
-    /// What to tell about members: all of this failure domain, a window of the
+    /// What to tell about members: a window of this failure domain, one of the
     /// others that moves on with each round, and those that became known last.
     pub fn sample(&self, now: Instant) -> Sample {
         let alive = self.alive(now);
