Add a quickstart on embedded stand-ins

Cause: a stranger had no single command that serves and shows a reclaim. Change: the example runs platform, engines, plain service and entry in one process, streams an answer through a reclaim, prints what to type next and keeps serving.

--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,194 @@
+//! Serves a model on embedded stand-ins in one process, shows that a streamed
+//! answer survives a reclaim, and keeps serving until stopped.
+//!
+//! `cargo run --release --example quickstart [--exit] [PORT]`
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hyper::Method;
+use lycheehaven_config::Settings;
+use lycheehaven_net::Caller;
+use lycheehaven_standins::Client;
+use lycheehaven_standins::Engine;
+use lycheehaven_standins::EngineParams;
+use lycheehaven_standins::PlainService;
+use lycheehaven_standins::Platform;
+use lycheehaven_standins::any_port;
+use lycheehaven_standins::whole_answer;
+use serde_json::json;
+
+const DEFAULT_PORT: u16 = 8080;
+const OPERATOR_KEY: &str = "operator-secret";
+const WORKSPACE_KEY: &str = "riigi-secret-key";
+const LENGTH: usize = 120;
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let port = args
+        .iter()
+        .find_map(|arg| arg.parse().ok())
+        .unwrap_or(DEFAULT_PORT);
+    let listen = SocketAddr::from(([127, 0, 0, 1], port));
+    let platform = Platform::start(any_port());
+    let params = EngineParams {
+        step: Duration::from_millis(20),
+        ..EngineParams::default()
+    };
+    let engines: Vec<(String, Engine)> = (1..=3)
+        .map(|n| {
+            (
+                format!("engine-{n}"),
+                Engine::start(any_port(), params.clone()),
+            )
+        })
+        .collect();
+    for (name, engine) in &engines {
+        platform
+            .state()
+            .add_vm(name, "tallinn-a", "poleer-llm", engine.addr());
+    }
+    let prices = PlainService::start(any_port());
+    prices.state().prices.insert("shellac".into(), 42);
+    platform
+        .state()
+        .add_vm("price-1", "tallinn-a", "hinnalaud", prices.addr());
+    start_entry(listen, platform.addr());
+    let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
+    runtime.block_on(show(listen, &platform, &engines));
+    print_next_steps(listen);
+    if !args.iter().any(|arg| arg == "--exit") {
+        say("Serving until you press Ctrl-C.\n");
+        loop {
+            std::thread::park();
+        }
+    }
+}
+
+/// Runs an entry on a thread of its own.
+fn start_entry(listen: SocketAddr, platform: SocketAddr) {
+    let peer = SocketAddr::from((listen.ip(), listen.port() + 1));
+    let toml = format!(
+        r#"
+name = "entry-1"
+domain = "tallinn-a"
+region = "ee-north"
+listen = "{listen}"
+peer_listen = "{peer}"
+peer_key = "peer-secret"
+operator_key = "{OPERATOR_KEY}"
+[platform]
+objects = "{platform}"
+cloud = "{platform}"
+"#
+    );
+    let folder = tempfile::tempdir().expect("temporary folder can be made");
+    let file: PathBuf = folder.path().join("entry-1.toml");
+    std::fs::write(&file, toml).expect("settings can be written");
+    let settings = Settings::load(&file).expect("settings are valid");
+    std::thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
+        if let Err(cause) = runtime.block_on(lycheehaven_entry::run(settings)) {
+            eprintln!("quickstart: {cause:#}");
+            std::process::exit(1);
+        }
+        std::process::exit(0);
+    });
+}
+
+async fn show(listen: SocketAddr, platform: &Platform, engines: &[(String, Engine)]) {
+    wait_until_ready(listen).await;
+    declare(listen).await;
+    say("Declared service poleer-llm and workspace riigi. Streaming an answer:\n\n");
+    let client = Client::new(WORKSPACE_KEY);
+    let prompt = format!("French polish for an oak altar? len={LENGTH}");
+    let mut stream = client
+        .stream(listen, &prompt)
+        .await
+        .expect("the entry answers");
+    let mut shown = 0;
+    let mut reclaimed = false;
+    while stream.next().await {
+        say(&stream.received.text[shown..]);
+        shown = stream.received.text.len();
+        if !reclaimed && stream.received.tokens >= LENGTH / 3 {
+            reclaimed = true;
+            reclaim_busy_engine(platform, engines);
+        }
+    }
+    let whole = stream.received.text == whole_answer(&prompt, LENGTH);
+    assert!(whole, "the answer must be whole: {:?}", stream.received);
+    say("\n\nThe answer is whole: every token came once and in order.\n");
+}
+
+fn reclaim_busy_engine(platform: &Platform, engines: &[(String, Engine)]) {
+    let busy = engines
+        .iter()
+        .find(|(_, engine)| engine.state().streams() > 0);
+    if let Some((name, _)) = busy {
+        platform
+            .state()
+            .reclaim(name, Duration::from_millis(500), true);
+        say(&format!(
+            "\n\n--- {name} is reclaimed with 0.5 s of notice ---\n\n"
+        ));
+    }
+}
+
+async fn wait_until_ready(listen: SocketAddr) {
+    let caller = Caller::new();
+    loop {
+        let wait = Duration::from_millis(500);
+        let reply = caller.call(Method::GET, listen, "/readyz", "", wait).await;
+        if reply.is_ok_and(|reply| reply.status == 200) {
+            return;
+        }
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn declare(listen: SocketAddr) {
+    let change = json!({
+        "services": {
+            "poleer-llm": {"kind": "model"},
+            "hinnalaud": {
+                "kind": "plain",
+                "calls": [{"method": "GET", "path": "/price", "repeatable": true}],
+            },
+        },
+        "workspaces": {"riigi": {"keys": [WORKSPACE_KEY]}},
+    });
+    let patch = json!({"base": 0, "writer": "quickstart", "change": change});
+    let caller = Caller::new().with_header("authorization", format!("Bearer {OPERATOR_KEY}"));
+    let wait = Duration::from_secs(5);
+    let answer: Result<serde_json::Value, _> = caller
+        .post_json(listen, "/admin/config", &patch, wait)
+        .await;
+    answer.expect("the patch is accepted");
+}
+
+fn print_next_steps(listen: SocketAddr) {
+    say(&format!(
+        r#"
+Try next, in another terminal:
+
+  curl -N http://{listen}/v1/completions \
+    -H 'Authorization: Bearer {WORKSPACE_KEY}' \
+    -d '{{"model":"poleer-llm","prompt":"shellac on beech?","stream":true}}'
+
+  curl http://{listen}/v1/services/hinnalaud/price/shellac \
+    -H 'Authorization: Bearer {WORKSPACE_KEY}'
+
+  cargo run --release --bin lycheectl -- --entry {listen} --key {OPERATOR_KEY} vms
+
+"#
+    ));
+}
+
+fn say(text: &str) {
+    let mut out = std::io::stdout();
+    let _ = out.write_all(text.as_bytes());
+    let _ = out.flush();
+}
