Refuse bad input clearly, and keep what a replica confirmed

Ruled out: tokens shown without a confirmation. Change: a repeated introduction keeps the tokens held.

--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,46 @@
+//! Settings files that must be refused, each with the text that the refusal
+//! must hold, and the samples, which must be accepted.
+
+use std::path::Path;
+
+use lycheehaven_config::Declared;
+use lycheehaven_config::Patch;
+use lycheehaven_config::Settings;
+
+fn refused(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let expected = text
+        .lines()
+        .next()
+        .and_then(|line| line.strip_prefix("# expect: "));
+    let expected = expected.expect("the first line says what to expect");
+    let message = Settings::load(path)
+        .expect_err("the file is refused")
+        .to_string();
+    assert!(message.contains(expected), "{message}");
+    assert!(message.contains(&*path.to_string_lossy()), "{message}");
+    Ok(())
+}
+
+fn sample(path: &Path) -> datatest_stable::Result<()> {
+    Settings::load(path)?;
+    Ok(())
+}
+
+fn declaration(path: &Path) -> datatest_stable::Result<()> {
+    let change = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+    let patch = Patch {
+        base: 0,
+        writer: "sample".into(),
+        change,
+    };
+    let declared = patch.apply(&Declared::default(), 0)?;
+    assert_eq!((declared.number, declared.workspaces.len()), (1, 5));
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = refused, root = "tests/refused", pattern = r".*\.toml$" },
+    { test = sample, root = "../../settings", pattern = r".*\.toml$" },
+    { test = declaration, root = "../../settings", pattern = r".*\.json$" },
+}
--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -213,17 +213,16 @@
             if full {
                 return None;
             }
-            replicas.insert(
-                id.clone(),
-                Replica {
-                    request,
-                    tokens: Tokens::default(),
-                    attempt: 0,
-                    phase: Phase::Waiting,
-                    answer: None,
-                    updated: node.now(),
-                },
-            );
+            // A repeated introduction must not shorten what was confirmed: the
+            // owner may have shown it already.
+            replicas.entry(id.clone()).or_insert_with(|| Replica {
+                request,
+                tokens: Tokens::default(),
+                attempt: 0,
+                phase: Phase::Waiting,
+                answer: None,
+                updated: node.now(),
+            });
         }
         let replica = replicas.get_mut(&id)?;
         if !replica.tokens.merge(update.offset, &update.tokens) {
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -97,6 +97,7 @@
         let received = Received {
             moved: false,
             error: None,
+            finish: None,
             ..received.clone()
         };
         Ok(TokenStream::new(response, received))
