--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -104,9 +104,9 @@
     /// The request has crashed upstreams and is not sent to further ones.
     Quarantined "quarantined" 422 Ran NEVER;
     /// The deadline passed before the request was sent.
-    DeadlineBefore "deadline_before_run" 504 NotRun after(1);
+    DeadlineBefore "deadline_before" 504 NotRun after(1);
     /// The deadline passed while the request ran.
-    DeadlineWithin "deadline_within_run" 504 Unknown NEVER;
+    DeadlineWithin "deadline_within" 504 Unknown NEVER;
     /// The request runs on; its answer is to be fetched from another entry.
     Moved "moved" 503 Unknown after(1);
     /// The entry is stopping.
