Keep no connection to peers that are called rarely

Cause: memory grew by 94 KB an entry, 48.7 MB at 420 by the fit of four process counts, against 32 MB: pooled connections to and from every peer. Ruled out: the tables; the VM list and the upstreams of 328 engines are below a megabyte. Change: exchange, boot, leaving and suspect calls close their connections; streamed chunks are serialized from a type instead of a JSON value.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -64,7 +64,11 @@
     pub(crate) objects: ObjectApi,
     pub(crate) cloud: CloudApi,
     pub(crate) engines: EngineClient,
+    /// Calls of peers that are talked to often.
     pub(crate) caller: Caller,
+    /// Calls of any peer now and then. Keeping a connection to each of hundreds
+    /// would cost more memory than connecting anew costs time.
+    pub(crate) rare_caller: Caller,
     pub(crate) config: RefCell<Rc<Declared>>,
     pub(crate) config_changed: Notify,
     pub(crate) vms: RefCell<Vec<Vm>>,
@@ -113,12 +117,14 @@
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
         let connect = Duration::from_millis(timing.connect_ms);
         let silence = Duration::from_millis(timing.silence_ms);
+        let caller = Caller::new().with_header(PEER_KEY_HEADER, settings.peer_key.clone());
         Rc::new(Self {
             incarnation,
             objects: ObjectApi::new(settings.platform.objects, timeout),
             cloud: CloudApi::new(settings.platform.cloud, timeout),
             engines: EngineClient::new(connect, silence),
-            caller: Caller::new().with_header(PEER_KEY_HEADER, settings.peer_key.clone()),
+            rare_caller: caller.clone().with_header("connection", "close"),
+            caller,
             config: RefCell::new(Rc::new(Declared::default())),
             config_changed: Notify::new(),
             vms: RefCell::default(),
--- a/crates/entry/src/peer_client.rs
+++ b/crates/entry/src/peer_client.rs
@@ -5,6 +5,7 @@
 
 use hyper::Method;
 use lycheehaven_net::CallError;
+use lycheehaven_net::Caller;
 use lycheehaven_peers::Exchange;
 use lycheehaven_types::Name;
 use serde::Serialize;
@@ -38,7 +39,7 @@
     let body = rmp_serde::to_vec(message).expect("messages serialize to MessagePack");
     let sent = body.len();
     let reply = node
-        .caller
+        .rare_caller
         .call(Method::POST, addr, "/peer/exchange", body, CALL_TIMEOUT)
         .await?;
     node.metrics
@@ -48,11 +49,20 @@
 }
 
 pub(crate) async fn boot_state(node: &Node, addr: SocketAddr) -> Option<BootState> {
-    post(node, addr, "/peer/boot", &(), CALL_TIMEOUT).await.ok()
+    post(&node.rare_caller, addr, "/peer/boot", &(), CALL_TIMEOUT)
+        .await
+        .ok()
 }
 
 pub(crate) async fn leaving(node: &Node, addr: SocketAddr, news: &[LeavingNews]) {
-    let sent: Result<(), CallError> = post(node, addr, "/peer/leaving", &news, CALL_TIMEOUT).await;
+    let sent: Result<(), CallError> = post(
+        &node.rare_caller,
+        addr,
+        "/peer/leaving",
+        &news,
+        CALL_TIMEOUT,
+    )
+    .await;
     if let Err(cause) = sent {
         log::debug!(target: "peers", peer = addr.to_string().as_str(); "leaving VM not told: {cause}");
     }
@@ -63,7 +73,14 @@
     addr: SocketAddr,
     updates: &[RecordUpdate],
 ) -> Result<UpdateAcks, CallError> {
-    post(node, addr, "/peer/replicate", &updates, CALL_TIMEOUT).await
+    post(
+        &node.caller,
+        addr,
+        "/peer/replicate",
+        &updates,
+        CALL_TIMEOUT,
+    )
+    .await
 }
 
 pub(crate) async fn claim(
@@ -73,7 +90,7 @@
 ) -> Result<lycheehaven_claims::ClaimReply, CallError> {
     // The owner may need several platform calls for a contended claim.
     let wait = Duration::from_millis(node.settings.platform.timeout_ms) * 2 + CLAIM_MARGIN;
-    post(node, addr, "/peer/claim", ask, wait).await
+    post(&node.caller, addr, "/peer/claim", ask, wait).await
 }
 
 pub(crate) async fn claim_status(
@@ -82,7 +99,7 @@
     query: &ClaimQuery,
 ) -> Result<ClaimStatus, CallError> {
     post(
-        node,
+        &node.rare_caller,
         addr,
         "/peer/claim_status",
         query,
@@ -96,7 +113,7 @@
     addr: SocketAddr,
     news: &SuspectNews,
 ) -> Result<SuspectReply, CallError> {
-    post(node, addr, "/peer/suspect", news, CALL_TIMEOUT).await
+    post(&node.rare_caller, addr, "/peer/suspect", news, CALL_TIMEOUT).await
 }
 
 /// Addresses of all live peers.
@@ -110,11 +127,11 @@
 }
 
 async fn post<T: DeserializeOwned>(
-    node: &Node,
+    caller: &Caller,
     addr: SocketAddr,
     path: &str,
     message: &impl Serialize,
     wait: Duration,
 ) -> Result<T, CallError> {
-    node.caller.post_message(addr, path, message, wait).await
+    caller.post_message(addr, path, message, wait).await
 }
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -13,6 +13,7 @@
 use lycheehaven_streams::Phase;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
+use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
 
@@ -150,27 +151,71 @@
     }
 }
 
-fn chunk(record: &Record, text: Option<&str>, finish: Option<&str>) -> Value {
+/// One event of a streamed answer.
+#[derive(Serialize)]
+struct Chunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Choice<'a> {
+    Text {
+        index: u32,
+        text: &'a str,
+        finish_reason: Option<&'a str>,
+    },
+    Chat {
+        index: u32,
+        delta: Delta<'a>,
+        finish_reason: Option<&'a str>,
+    },
+}
+
+#[derive(Serialize)]
+struct Delta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+fn chunk(record: &Record, text: Option<&str>, finish_reason: Option<&str>) -> String {
     let request = &record.request;
     let (object, choice) = match request.shape {
         Shape::Chat => {
-            let delta = text.map_or_else(|| json!({}), |text| json!({"content": text}));
-            let choice = json!({"index": 0, "delta": delta, "finish_reason": finish});
-            ("chat.completion.chunk", choice)
+            let delta = Delta { content: text };
+            (
+                "chat.completion.chunk",
+                Choice::Chat {
+                    index: 0,
+                    delta,
+                    finish_reason,
+                },
+            )
         }
         Shape::Completions | Shape::Plain => {
             let text = text.unwrap_or("");
-            let choice = json!({"index": 0, "text": text, "finish_reason": finish});
-            ("text_completion", choice)
+            (
+                "text_completion",
+                Choice::Text {
+                    index: 0,
+                    text,
+                    finish_reason,
+                },
+            )
         }
     };
-    json!({
-        "id": request.id,
-        "object": object,
-        "created": request.created,
-        "model": request.service,
-        "choices": [choice],
-    })
+    let chunk = Chunk {
+        id: request.id.as_str(),
+        object,
+        created: request.created,
+        model: &request.service,
+        choices: [choice],
+    };
+    serde_json::to_string(&chunk).expect("chunks serialize to JSON")
 }
 
 async fn whole_response(record: &Rc<Record>) -> Result<Response<Body>, Failure> {
