--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -8,6 +8,8 @@
 use crate::client::Client;
 use crate::client::CtlError;
 use crate::config_cmd;
+use crate::load;
+use crate::load::LoadOptions;
 use crate::output;
 use crate::output::ExitCode;
 use crate::show;
@@ -24,6 +26,7 @@
   vms                             list VMs and their load
   drain                           stop the entry after its requests
   explain REQUEST                 show the decisions about a request
+  load FILE                       run a load scenario against the entries
   verify FILE                     check a recorded history for the promises
   key                             print a new idempotency key";
 
@@ -76,6 +79,7 @@
         ["vms"] => show::vms(&context(&matches)?).await,
         ["drain"] => show::drain(&context(&matches)?).await,
         ["explain", request] => show::explain(&context(&matches)?, request).await,
+        ["load", file] => load::run(file, &load_options(&matches)?).await,
         ["verify", file] => verify::run(file, matches.opt_present("json")),
         _ => Err(CtlError::usage(format!(
             "unknown command: {}\n{USAGE}",
@@ -105,13 +109,28 @@
         "identifier of the patch, to repeat it safely",
         "ID",
     );
+    options.optopt("s", "seed", "seed of a load run", "N");
+    options.optopt("o", "history", "file for a load run's history", "FILE");
     options.optflag("j", "json", "print JSON");
     options.optflag("v", "version", "print the version");
     options.optflag("h", "help", "print this help");
     options
 }
 
-fn context(matches: &Matches) -> Result<Context, CtlError> {
+fn load_options(matches: &Matches) -> Result<LoadOptions, CtlError> {
+    let seed = matches
+        .opt_get("seed")
+        .map_err(|_| CtlError::usage("--seed: not a number"))?;
+    Ok(LoadOptions {
+        entries: entries(matches)?,
+        seed,
+        history: matches.opt_str("history"),
+        json: matches.opt_present("json"),
+    })
+}
+
+/// Addresses of the options, else of the environment.
+fn entries(matches: &Matches) -> Result<Vec<SocketAddr>, CtlError> {
     let given = matches.opt_strs("entry");
     let texts = match std::env::var(ENTRY_VARIABLE) {
         Ok(value) if given.is_empty() => value.split(',').map(str::to_owned).collect(),
@@ -130,6 +149,11 @@
             "give --entry or set {ENTRY_VARIABLE}"
         )));
     }
+    Ok(entries)
+}
+
+fn context(matches: &Matches) -> Result<Context, CtlError> {
+    let entries = entries(matches)?;
     let key = matches
         .opt_str("key")
         .or_else(|| std::env::var(KEY_VARIABLE).ok());
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod command;
 mod config_cmd;
+mod load;
 mod output;
 mod show;
 mod verify;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod seeded;
 mod stop;
 mod support;
+mod tools;
