Use each engine's own link rate, and the record's clock

Change: loads carry the link rate; records hold the clock; a workspace that was removed meanwhile is refused; parameters that had become unused are gone.

--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -7,7 +7,6 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use lycheehaven_config::ServiceKind;
-use lycheehaven_config::Workspace;
 use lycheehaven_limits::Refusal;
 use lycheehaven_limits::Ticket;
 use lycheehaven_net::Body;
@@ -76,7 +75,7 @@
         Some(record) => record,
         None => accept(node, workspace, shape, parsed, digest, key)?,
     };
-    respond::answer(node, record, stream, 0).await
+    respond::answer(record, stream, 0).await
 }
 
 /// Lists the declared model services in the shape of a model list.
@@ -250,14 +249,9 @@
 /// Admits a request within the workspace's limits.
 pub(crate) fn admit(node: &Node, workspace: &Name, tokens: f64) -> Result<Ticket, Failure> {
     let declared = node.declared();
-    let unlimited = Workspace {
-        keys: Vec::new(),
-        rate: f64::MAX,
-        tokens: f64::MAX,
-        concurrent: f64::MAX,
-        share: 1.0,
-    };
-    let limits = declared.workspaces.get(workspace).unwrap_or(&unlimited);
+    let limits = declared.workspaces.get(workspace);
+    let limits =
+        limits.ok_or_else(|| Failure::new(ErrorKind::Unauthorized, "the workspace was removed"))?;
     let now = node.now();
     node.shares.borrow_mut().count(workspace, now);
     let part = node.shares.borrow().part(workspace, node.topology(), now);
@@ -295,7 +289,7 @@
         Shape::Plain => "plain",
     };
     node.metrics.requests.get_or_create(&kind(shape)).inc();
-    let record = Rc::new(Record::new(request, Stream::new(), node.now()));
+    let record = Rc::new(Record::new(request, Stream::new(), node.clock.clone()));
     *record.replica.borrow_mut() = replica;
     *record.ticket.borrow_mut() = Some(ticket);
     let id = record.request.id.clone();
--- a/crates/entry/src/evacuate.rs
+++ b/crates/entry/src/evacuate.rs
@@ -141,20 +141,21 @@
 }
 
 fn plan(node: &Node, vm: &Name, left: Duration, records: &[Rc<Record>]) -> Vec<(usize, Move)> {
-    let step = node
+    let load = node
         .table
         .borrow()
         .get(vm)
-        .and_then(|upstream| upstream.load)
-        .map_or(DEFAULT_STEP, |load| {
-            Duration::from_micros(u64::from(load.step_us))
-        });
+        .and_then(|upstream| upstream.load);
+    let step = load.map_or(DEFAULT_STEP, |load| {
+        Duration::from_micros(u64::from(load.step_us))
+    });
+    let link_rate = load.map_or(DEFAULT_LINK_RATE, |load| f64::from(load.link));
     let sharers = node.peers.borrow().serving_domain(node.now()).len().max(1);
     let input = EvacuationInput {
         left,
         step,
         // The other entries of the domain move their streams at the same time.
-        link_rate: DEFAULT_LINK_RATE / sharers as f64,
+        link_rate: link_rate / sharers as f64,
         links: 1,
     };
     let expectations = node.expectations.borrow();
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -168,6 +168,7 @@
         rate: load.rate,
         step_us: load.step_us,
         limit: load.limit,
+        link: load.link,
     }
 }
 
@@ -180,5 +181,6 @@
         rate: digest.rate,
         step_us: digest.step_us,
         limit: digest.limit,
+        link: digest.link,
     }
 }
--- a/crates/entry/src/fetch.rs
+++ b/crates/entry/src/fetch.rs
@@ -90,7 +90,7 @@
     }
     // The owner can't be reached, so its replica continues the answer.
     if let Some(record) = replicate::adopt(node, &id) {
-        return serve(node, &workspace, record, want).await;
+        return serve(&workspace, record, want).await;
     }
     Err(unknown())
 }
@@ -104,7 +104,7 @@
 ) -> Option<Result<Response<Body>, Failure>> {
     let record = node.records.borrow().get(id).cloned();
     let record = record.filter(|record| !record.given.get())?;
-    Some(serve(node, workspace, record, want).await)
+    Some(serve(workspace, record, want).await)
 }
 
 /// Answers a peer that found the owner unreachable or does not know it.
@@ -118,12 +118,11 @@
         return response;
     }
     let record = replicate::adopt(node, id).ok_or_else(unknown)?;
-    serve(node, workspace, record, want).await
+    serve(workspace, record, want).await
 }
 
 /// A workspace that guesses another's identifier learns nothing from the answer.
 async fn serve(
-    node: &Rc<Node>,
     workspace: &Name,
     record: Rc<Record>,
     want: Want,
@@ -141,7 +140,7 @@
         );
         return Err(Failure::new(ErrorKind::BadRequest, message));
     }
-    respond::answer(node, record, want.stream, want.from).await
+    respond::answer(record, want.stream, want.from).await
 }
 
 /// Peers that may hold the record: its owner, its first replica, then everyone.
--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -101,5 +101,6 @@
         rate: report.prefill_rate as f32,
         step_us: u32::try_from(report.step_us).unwrap_or(u32::MAX),
         limit: report.batch_limit,
+        link: report.link_rate as f32,
     }
 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -233,7 +233,7 @@
     record.ticket.borrow_mut().take();
     node.limiter.borrow_mut().finish(&ticket, 0.0);
     record.settled.set(true);
-    record.touched.set(node.now());
+    record.touch();
     record.changed.notify_waiters();
 }
 
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Instant;
 
 use lycheehaven_limits::Ticket;
@@ -9,6 +10,7 @@
 use lycheehaven_streams::Phase;
 use lycheehaven_streams::Stream;
 use lycheehaven_streams::Verdict;
+use lycheehaven_types::Clock;
 use lycheehaven_types::Digest;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
@@ -69,8 +71,8 @@
 }
 
 /// An accepted request.
-#[derive(Debug)]
 pub(crate) struct Record {
+    clock: Rc<dyn Clock>,
     pub(crate) request: Request,
     pub(crate) stream: RefCell<Stream>,
     /// Woken by every change of the fields below or of the stream.
@@ -105,8 +107,10 @@
 
 impl Record {
     /// A record of `request` with the state of `stream`.
-    pub(crate) fn new(request: Request, stream: Stream, now: Instant) -> Self {
+    pub(crate) fn new(request: Request, stream: Stream, clock: Rc<dyn Clock>) -> Self {
+        let now = clock.now();
         Self {
+            clock,
             request,
             stream: RefCell::new(stream),
             changed: Notify::new(),
@@ -137,6 +141,11 @@
         verdict
     }
 
+    /// Notes that someone took an interest in the record just now.
+    pub(crate) fn touch(&self) {
+        self.touched.set(self.clock.now());
+    }
+
     /// Gives the request up.
     pub(crate) fn abandon(&self, kind: ErrorKind, message: impl Into<String>) {
         self.handle(Event::Abandon(kind, message.into()));
@@ -224,7 +233,6 @@
 pub(crate) struct Attendance<'a> {
     record: &'a Record,
     count: fn(&Record) -> &Cell<u32>,
-    now: fn() -> Instant,
 }
 
 impl<'a> Attendance<'a> {
@@ -241,11 +249,7 @@
     fn enter(record: &'a Record, count: fn(&Record) -> &Cell<u32>) -> Self {
         count(record).set(count(record).get() + 1);
         record.steer.notify_waiters();
-        Self {
-            record,
-            count,
-            now: Instant::now,
-        }
+        Self { record, count }
     }
 }
 
@@ -253,7 +257,7 @@
     fn drop(&mut self) {
         let cell = (self.count)(self.record);
         cell.set(cell.get() - 1);
-        self.record.touched.set((self.now)());
+        self.record.touch();
         self.record.steer.notify_waiters();
     }
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -419,7 +419,7 @@
     if record.given.get() {
         return;
     }
-    record.touched.set(node.now());
+    record.touch();
     if let Some(failure) = record.failure() {
         node.metrics
             .failures
--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -244,7 +244,7 @@
 pub(crate) fn adopt(node: &Rc<Node>, id: &RequestId) -> Option<Rc<Record>> {
     let replica = node.replicas.borrow_mut().remove(id)?;
     let stream = Stream::resume(replica.tokens, replica.attempt, replica.phase);
-    let record = Rc::new(Record::new(replica.request, stream, node.now()));
+    let record = Rc::new(Record::new(replica.request, stream, node.clock.clone()));
     record.settled.set(replica.answer.is_some());
     *record.answer.borrow_mut() = replica.answer;
     if record.request.shape == Shape::Plain && !record.settled.replace(true) {
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -17,7 +17,6 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::node::Node;
 use crate::node::spawn;
 use crate::record::Attendance;
 use crate::record::Record;
@@ -37,14 +36,13 @@
 
 /// Answers with a record's tokens from `from` on, or with the whole answer.
 pub(crate) async fn answer(
-    node: &Rc<Node>,
     record: Rc<Record>,
     stream: bool,
     from: usize,
 ) -> Result<Response<Body>, Failure> {
     wait_for_replica(&record).await;
     let mut response = if stream {
-        stream_response(node, record.clone(), from)
+        stream_response(record.clone(), from)
     } else {
         whole_response(&record).await?
     };
@@ -63,16 +61,11 @@
     let _ = compio::time::timeout(REPLICA_WAIT, held).await;
 }
 
-fn stream_response(node: &Rc<Node>, record: Rc<Record>, from: usize) -> Response<Body> {
+fn stream_response(record: Rc<Record>, from: usize) -> Response<Body> {
     let (sender, body) = Body::channel(BUFFER);
     let mut response = bytes_response(200, "text/event-stream", "");
     *response.body_mut() = body;
-    let node = node.clone();
-    spawn(async move {
-        let reading = send_events(&record, from, sender);
-        reading.await;
-        record.touched.set(node.now());
-    });
+    spawn(async move { send_events(&record, from, sender).await });
     response
 }
 
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -73,6 +73,8 @@
     pub step_us: u32,
     /// Streams that fit the batch.
     pub limit: u32,
+    /// KV cache tokens that its link moves in a millisecond.
+    pub link: f32,
 }
 
 /// A request that is refused because it lost upstreams.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -44,6 +44,8 @@
     pub step_us: u32,
     /// Streams that fit the batch.
     pub limit: u32,
+    /// KV cache tokens that its link moves in a millisecond.
+    pub link: f32,
 }
 
 /// An upstream.
--- a/examples/capacity/gossip.rs
+++ b/examples/capacity/gossip.rs
@@ -211,6 +211,7 @@
         rate: 12.0,
         step_us: 30_000,
         limit: 32,
+        link: 20.0,
     });
     Exchange {
         version: PROTOCOL_VERSION,
--- a/examples/capacity/machines.rs
+++ b/examples/capacity/machines.rs
@@ -74,6 +74,7 @@
             rate: 12.0,
             step_us: 30_000,
             limit: 32,
+            link: 20.0,
         };
         table.report(name, Incarnation(1), load);
     }
