Plan an evacuation again as the notice runs out

Ruled out: imports, none of which failed. The stand-in counted requests that had never been computed as recomputed; that is mended on both sides of the table. Change: the plan is made again whenever half of the rest of the notice has passed; what no longer fits moves then.

--- a/crates/entry/src/evacuate.rs
+++ b/crates/entry/src/evacuate.rs
@@ -20,6 +20,7 @@
 use crate::node::spawn;
 use crate::peer_client;
 use crate::record::Record;
+use crate::relay;
 use crate::wire::LeavingNews;
 
 /// Quantile of the learned lengths that a rest is planned by.
@@ -34,6 +35,9 @@
 /// Period of looking for an upstream that a stream can move to.
 const TARGET_POLL_MS: u64 = 50;
 
+/// Plans made for one notice, each when half of the rest has passed.
+const PLAN_ROUNDS: u32 = 4;
+
 /// Targets tried for one KV cache.
 const EXPORT_TRIES: usize = 3;
 
@@ -82,7 +86,7 @@
             node.draining.set(true);
             node.drain.notify_waiters();
         } else {
-            evacuate(node, &news.vm, left);
+            spawn(evacuate(node.clone(), news.vm.clone(), left));
         }
     }
 }
@@ -100,32 +104,57 @@
     news.vm == node.settings.name && listed.is_some_and(|vm| vm.incarnation == news.incarnation)
 }
 
-fn evacuate(node: &Rc<Node>, vm: &Name, left: Duration) {
-    let records: Vec<Rc<Record>> = node
-        .records
-        .borrow()
-        .values()
-        .filter(|record| record.upstream().as_ref() == Some(vm))
-        .cloned()
-        .collect();
-    let plan = match node.settings.streams.evacuation {
-        EvacuationPolicy::Cost => plan(node, vm, left, &records),
-        EvacuationPolicy::ResumeAll => (0..records.len()).map(|i| (i, Move::Resume)).collect(),
-        EvacuationPolicy::Wait => Vec::new(),
-    };
+/// Empties a leaving upstream. What fits the notice is planned again as it runs
+/// out, because a stream that was expected to finish may turn out longer.
+async fn evacuate(node: Rc<Node>, vm: Name, left: Duration) {
+    let deadline = node.now() + left;
+    let policy = node.settings.streams.evacuation;
+    for round in 0..PLAN_ROUNDS {
+        let left = deadline.saturating_duration_since(node.now());
+        let records = staying(&node, &vm);
+        let plan = match policy {
+            EvacuationPolicy::Cost => plan(&node, &vm, left, &records),
+            EvacuationPolicy::ResumeAll => (0..records.len()).map(|i| (i, Move::Resume)).collect(),
+            EvacuationPolicy::Wait => return,
+        };
+        carry_out(&node, &vm, left, &records, plan, round);
+        compio::time::sleep(left / 2).await;
+    }
+}
+
+/// Records that run on the upstream and are not being moved.
+fn staying(node: &Node, vm: &Name) -> Vec<Rc<Record>> {
+    let records = node.records.borrow();
+    let staying = records.values().filter(|record| {
+        record.upstream().as_ref() == Some(vm) && record.moving.borrow().as_ref() != Some(vm)
+    });
+    staying.cloned().collect()
+}
+
+fn carry_out(
+    node: &Rc<Node>,
+    vm: &Name,
+    left: Duration,
+    records: &[Rc<Record>],
+    plan: Vec<(usize, Move)>,
+    round: u32,
+) {
     let mut exports = Vec::new();
     for (index, action) in plan {
         let record = &records[index];
         let (name, reason) = describe(action);
-        let subject = record.request.id.as_str();
-        node.decisions
-            .note(node.wall_millis(), "evacuate", subject, name, reason);
-        node.metrics.moved.get_or_create(&kind(name)).inc();
+        if action != Move::Finish || round == 0 {
+            let subject = record.request.id.as_str();
+            node.decisions
+                .note(node.wall_millis(), "evacuate", subject, name, reason);
+            node.metrics.moved.get_or_create(&kind(name)).inc();
+        }
         match action {
-            Move::Finish => {}
+            Move::Finish => continue,
             Move::Export => exports.push(record.clone()),
             Move::Resume => spawn(resume(node.clone(), vm.clone(), record.clone())),
         }
+        *record.moving.borrow_mut() = Some(vm.clone());
     }
     if !exports.is_empty() {
         spawn(export_all(node.clone(), vm.clone(), exports, left));
@@ -185,11 +214,7 @@
         pause(TARGET_POLL_MS).await;
     }
     if stays(&record) {
-        let tokens = record.request.prompt_tokens + record.length() as u64;
-        node.metrics
-            .recomputed
-            .get_or_create(&kind("reclaim"))
-            .inc_by(tokens);
+        relay::count_recomputed(&node, &record, "reclaim");
         record.redirect(None);
     }
 }
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -93,6 +93,8 @@
     pub(crate) introduced: Cell<bool>,
     /// Whether the record waits to be sent to its replica.
     pub(crate) queued: Cell<bool>,
+    /// Leaving upstream that the record is being moved off.
+    pub(crate) moving: RefCell<Option<Name>>,
     pub(crate) redirect: RefCell<Option<Redirect>>,
     pub(crate) answer: RefCell<Option<PlainAnswer>>,
     /// Whether a plain call's answer may be shown: it was copied, or can't be.
@@ -122,6 +124,7 @@
             replicated: Cell::new(0),
             introduced: Cell::new(false),
             queued: Cell::new(false),
+            moving: RefCell::new(None),
             redirect: RefCell::new(None),
             answer: RefCell::new(None),
             settled: Cell::new(false),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -403,12 +403,16 @@
     suspects::tell_verdict(node, digest).await;
 }
 
-fn count_recomputed(node: &Node, record: &Record, cause: &str) {
-    let tokens = record.request.prompt_tokens + record.length() as u64;
-    node.metrics
-        .recomputed
-        .get_or_create(&kind(cause))
-        .inc_by(tokens);
+/// Counts what the next attempt computes again. A request without a token yet
+/// may never have been computed.
+pub(crate) fn count_recomputed(node: &Node, record: &Record, cause: &str) {
+    if record.length() > 0 {
+        let tokens = record.request.prompt_tokens + record.length() as u64;
+        node.metrics
+            .recomputed
+            .get_or_create(&kind(cause))
+            .inc_by(tokens);
+    }
 }
 
 fn finish(node: &Node, record: &Record) {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -169,11 +169,9 @@
         let moved = self.imported.remove(&generation.request).unwrap_or(0);
         let cached = self.cached_tokens(&generation.prompt).max(moved);
         generation.prefill = generation.context.saturating_sub(cached);
-        let recomputed = if generation.attempt > 1 {
-            generation.prefill
-        } else {
-            0
-        };
+        // A request without a token yet may never have been computed.
+        let resumed = generation.attempt > 1 && generation.offset > 0;
+        let recomputed = if resumed { generation.prefill } else { 0 };
         self.recomputed += recomputed;
         self.executions.push(Execution {
             request: generation.request.clone(),
