Send bad paths as they are

Ruled out: the entry, which refuses both paths as the cases say. Change: the suite sends each request on a plain connection.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -1,11 +1,14 @@
 //! Bad requests as files: each names what is sent and the answer that must
 //! come. Afterwards a sound request must still be answered.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
-use hyper::Method;
-use lycheehaven_net::Caller;
+use hyper::Request;
+use lycheehaven_net::Body;
+use lycheehaven_net::open_once;
+use lycheehaven_net::read_body;
 use lycheehaven_standins::Client;
 use lycheehaven_standins::Cluster;
 use lycheehaven_standins::EngineParams;
@@ -63,27 +66,42 @@
     cluster.wait_until_joined().await;
     cluster.declare_default().await;
     let addr = cluster.entries[0].listen;
-    let caller = Caller::new().with_header("authorization", format!("Bearer {}", case.key));
-    let method = Method::from_bytes(case.method.as_bytes()).expect("method is valid");
-    let headers: Vec<(&str, String)> = case
-        .idempotency_key
-        .iter()
-        .map(|key| ("idempotency-key", key.clone()))
-        .collect();
-    let wait = Duration::from_secs(20);
-    let reply = caller
-        .call_with(method, addr, &case.path, &headers, case.bytes(), wait)
-        .await
-        .expect("the entry answers bad input");
-    let answer: Value = reply.json().expect("errors are JSON");
+    let (status, answer) = send(&case, addr).await;
     assert_eq!(answer["error"]["kind"], case.kind.as_str(), "{answer}");
-    assert_eq!(reply.status, case.status);
+    assert_eq!(status, case.status);
     let sound = Client::new(WORKSPACE_KEY)
         .complete(addr, "label len=3")
         .await;
     assert_eq!(sound.expect("the entry still answers").status, 200);
 }
 
+/// Sends the case's path as it is; pooled clients would resolve its dots.
+async fn send(case: &Case, addr: SocketAddr) -> (u16, Value) {
+    let mut request = Request::builder()
+        .method(case.method.as_str())
+        .uri(&case.path)
+        .header("host", addr.to_string())
+        .header("authorization", format!("Bearer {}", case.key));
+    if let Some(key) = &case.idempotency_key {
+        request = request.header("idempotency-key", key);
+    }
+    let request = request
+        .body(Body::full(case.bytes()))
+        .expect("request parts are valid");
+    let wait = Duration::from_secs(20);
+    let response = open_once(addr, request, wait, wait)
+        .await
+        .expect("the entry answers");
+    let status = response.status().as_u16();
+    let body = read_body(response.into_body(), 1 << 20, wait)
+        .await
+        .expect("the answer is whole");
+    (
+        status,
+        serde_json::from_slice(&body).expect("errors are JSON"),
+    )
+}
+
 datatest_stable::harness! {
     { test = refused, root = "tests/bad_input", pattern = r".*\.json$" },
 }
