Give way to a replica that has taken a record over

Ruled out: taking the record back, as a caller already follows the peer. Change: the acknowledgement says whether the record is held, missing or taken; on taken the entry stops and tells its callers that the answer moved. Records given away are dropped after their keeping time.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -118,24 +118,12 @@
             None => false,
         };
         if taken {
-            group.iter().for_each(|record| mark_given(node, record));
+            group
+                .iter()
+                .for_each(|record| replicate::give_way(node, record));
         } else {
             left.extend(group);
         }
     }
     left
 }
-
-fn mark_given(node: &Node, record: &Record) {
-    record.given.set(true);
-    record.changed.notify_waiters();
-    record.steer.notify_waiters();
-    let subject = record.request.id.as_str();
-    node.decisions.note(
-        node.wall_millis(),
-        "hand_over",
-        subject,
-        "peer",
-        "this entry stops",
-    );
-}
--- a/crates/entry/src/peer_client.rs
+++ b/crates/entry/src/peer_client.rs
@@ -20,7 +20,7 @@
 use crate::wire::RecordUpdate;
 use crate::wire::SuspectNews;
 use crate::wire::SuspectReply;
-use crate::wire::UpdateAcks;
+use crate::wire::UpdateAck;
 
 /// Timeout of short calls to a peer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -72,7 +72,7 @@
     node: &Node,
     addr: SocketAddr,
     updates: &[RecordUpdate],
-) -> Result<UpdateAcks, CallError> {
+) -> Result<Vec<UpdateAck>, CallError> {
     post(
         &node.caller,
         addr,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -177,6 +177,7 @@
 
 async fn run_attempt(node: &Rc<Node>, record: &Rc<Record>, prompt: &Prompt, target: &Target) {
     record.handle(Event::Begin(target.vm.clone()));
+    *record.moving.borrow_mut() = None;
     let attempt = record.stream.borrow().attempt();
     let start = record.length();
     node.metrics.attempts.inc();
--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -29,7 +29,7 @@
 use crate::record::Shape;
 use crate::relay;
 use crate::wire::RecordUpdate;
-use crate::wire::UpdateAcks;
+use crate::wire::UpdateAck;
 
 /// Records in one message.
 const BATCH_LIMIT: usize = 256;
@@ -123,25 +123,42 @@
     }
 }
 
-fn confirm(node: &Rc<Node>, batch: &[Rc<Record>], acks: &UpdateAcks) {
+fn confirm(node: &Rc<Node>, batch: &[Rc<Record>], acks: &[UpdateAck]) {
     for (record, ack) in batch.iter().zip(acks) {
         match ack {
-            Some(length) => {
+            UpdateAck::Held(length) => {
                 record.introduced.set(true);
                 record
                     .replicated
                     .set((*length).max(record.replicated.get()));
                 record.changed.notify_waiters();
             }
-            None => {
-                // The replica lost the record, for example by a restart.
+            // The replica lost the record, for example by a restart.
+            UpdateAck::Missing => {
                 record.introduced.set(false);
                 node.replicator.grown(node, record);
             }
+            // The peer took this entry for dead, and a caller follows it now.
+            UpdateAck::Taken => give_way(node, record),
         }
     }
 }
 
+/// Stops working on a record that a peer continues.
+pub(crate) fn give_way(node: &Node, record: &Record) {
+    record.given.set(true);
+    record.changed.notify_waiters();
+    record.steer.notify_waiters();
+    let subject = record.request.id.as_str();
+    node.decisions.note(
+        node.wall_millis(),
+        "hand_over",
+        subject,
+        "peer",
+        "a peer continues it",
+    );
+}
+
 /// Finds another peer for a record whose replica can't be reached. Without one,
 /// the record goes on alone.
 fn replace_replica(node: &Rc<Node>, record: &Rc<Record>, lost: &Name) {
@@ -179,7 +196,7 @@
         .map(|record| update_of(record, true))
         .collect();
     let acks = peer_client::replicate(node, addr, &updates).await;
-    acks.is_ok_and(|acks| acks.len() == records.len() && acks.iter().all(Option::is_some))
+    acks.is_ok_and(|acks| acks.len() == records.len() && !acks.contains(&UpdateAck::Missing))
 }
 
 /// Copies a record to its replica now, as far as that can be reached.
@@ -194,16 +211,19 @@
 }
 
 /// Applies updates from a peer.
-pub(crate) fn receive(node: &Rc<Node>, updates: Vec<RecordUpdate>) -> UpdateAcks {
+pub(crate) fn receive(node: &Rc<Node>, updates: Vec<RecordUpdate>) -> Vec<UpdateAck> {
     updates
         .into_iter()
         .map(|update| receive_one(node, update))
         .collect()
 }
 
-fn receive_one(node: &Rc<Node>, update: RecordUpdate) -> Option<usize> {
-    if !update.tokens.is_consistent() || node.records.borrow().contains_key(&update.id) {
-        return None;
+fn receive_one(node: &Rc<Node>, update: RecordUpdate) -> UpdateAck {
+    if node.records.borrow().contains_key(&update.id) {
+        return UpdateAck::Taken;
+    }
+    if !update.tokens.is_consistent() {
+        return UpdateAck::Missing;
     }
     let id = update.id.clone();
     let length = {
@@ -211,7 +231,7 @@
         if let Some(request) = update.request {
             let full = replicas.len() >= REPLICA_LIMIT && !replicas.contains_key(&id);
             if full {
-                return None;
+                return UpdateAck::Missing;
             }
             // A repeated introduction must not shorten what was confirmed: the
             // owner may have shown it already.
@@ -224,9 +244,11 @@
                 updated: node.now(),
             });
         }
-        let replica = replicas.get_mut(&id)?;
+        let Some(replica) = replicas.get_mut(&id) else {
+            return UpdateAck::Missing;
+        };
         if !replica.tokens.merge(update.offset, &update.tokens) {
-            return None;
+            return UpdateAck::Missing;
         }
         replica.attempt = update.attempt;
         replica.phase = update.phase;
@@ -237,7 +259,7 @@
     if update.adopt {
         adopt(node, &id);
     }
-    Some(length)
+    UpdateAck::Held(length)
 }
 
 /// Continues a record from its replica here.
@@ -297,7 +319,7 @@
         pause(GARBAGE_PERIOD_MS).await;
         let now = node.now();
         let expired = |record: &Record| {
-            record.is_over()
+            (record.is_over() || record.given.get())
                 && !record.is_attended()
                 && now.duration_since(record.touched.get()) >= keep
         };
--- a/crates/entry/src/wire.rs
+++ b/crates/entry/src/wire.rs
@@ -50,9 +50,16 @@
     pub(crate) adopt: bool,
 }
 
-/// How far a replica is, in the order of the updates; `None` means that the
-/// replica needs the record from its start.
-pub(crate) type UpdateAcks = Vec<Option<usize>>;
+/// Answer to a [`RecordUpdate`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum UpdateAck {
+    /// The replica holds this many tokens.
+    Held(usize),
+    /// The replica needs the record from its start.
+    Missing,
+    /// The receiver has taken the record over.
+    Taken,
+}
 
 /// Asks the shard's owner to commit a claim.
 #[derive(Debug, Serialize, Deserialize)]
--- a/tests/all/reclaim.rs
+++ b/tests/all/reclaim.rs
@@ -185,3 +185,36 @@
         assert_eq!(stream.received.text, whole_answer(prompt, 400));
     });
 }
+
+/// An entry is frozen until its replica has taken a stream over. When it goes
+/// on, it gives way: its old connection says that the answer moved.
+#[test]
+fn thawed_entry_gives_way_to_the_replica() {
+    run(async {
+        let engines = [("engine-1", "tallinn-a"), ("engine-2", "tallinn-b")];
+        let cluster = cluster("", ENTRIES, &engines, slow()).await;
+        let prompt = "inlay of a chess table len=700";
+        let mut stream = client()
+            .stream(cluster.entries[0].listen, prompt)
+            .await
+            .unwrap();
+        stream.receive(30).await;
+        cluster.entries[0].freeze();
+        let mut taken = None;
+        while taken.is_none() {
+            let addr = cluster.entries[1].listen;
+            let mut rest = client().resume(addr, &stream.received).await.unwrap();
+            rest.next().await;
+            taken = Some(rest).filter(|rest| rest.received.error.is_none());
+            compio::time::sleep(Duration::from_millis(100)).await;
+        }
+        cluster.entries[0].thaw();
+        let mut rest = taken.unwrap();
+        while rest.next().await {}
+        assert_eq!(rest.received.text, whole_answer(prompt, 700));
+        while stream.next().await {}
+        let received = stream.received;
+        assert!(received.moved || received.finish.is_some(), "{received:?}");
+        assert!(whole_answer(prompt, 700).starts_with(&received.text));
+    });
+}
