Cover slow and endless bodies

Cause: only headers that never end were covered. Change: a body that stops half-way gets slow_request, one that goes on past its bound gets too_large, and another caller is answered meanwhile.

--- a/tests/all/raw_input.rs
+++ b/tests/all/raw_input.rs
@@ -13,6 +13,7 @@
 use lycheehaven_standins::Cluster;
 use lycheehaven_standins::EngineParams;
 use lycheehaven_standins::OTHER_KEY;
+use lycheehaven_standins::WORKSPACE_KEY;
 use serde_json::Value;
 
 use crate::support::DAEMON;
@@ -206,3 +207,37 @@
     let sample = concat!(env!("CARGO_MANIFEST_DIR"), "/settings/trinidad.toml");
     assert!(output(&["--check", sample]).status.success());
 }
+
+fn head(framing: &str) -> Vec<u8> {
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {WORKSPACE_KEY}\r\n\
+         {framing}\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+#[test]
+fn slow_and_endless_bodies_get_their_errors() {
+    run(async {
+        let cluster = start().await;
+        let addr = cluster.entries[0].listen;
+        let mut slow = head("content-length: 100\r\nconnection: close");
+        slow.extend(b"{\"model\"");
+        let slow = std::thread::spawn(move || answer_to(addr, &slow));
+        let mut endless = head("transfer-encoding: chunked\r\nconnection: close");
+        for _ in 0..20 {
+            endless.extend(b"10000\r\n");
+            endless.extend(std::iter::repeat_n(b' ', 0x10000));
+            endless.extend(b"\r\n");
+        }
+        let answer = answer_to(addr, &endless);
+        assert!(
+            answer.is_empty() || answer.contains("too_large"),
+            "{answer}"
+        );
+        let reply = client().complete(addr, "label len=3").await.unwrap();
+        assert_eq!(reply.status, 200);
+        let answer = slow.join().unwrap();
+        assert!(answer.contains("slow_request"), "{answer}");
+    });
+}
