--- a/crates/entry/src/evacuate.rs
+++ b/crates/entry/src/evacuate.rs
@@ -210,7 +210,9 @@
 /// the leaving upstream for as long as there is no other.
 async fn resume(node: Rc<Node>, vm: Name, record: Rc<Record>) {
     let stays = |record: &Record| record.upstream().as_ref() == Some(&vm);
-    while stays(&record) && choose_target(&node, &record).is_none() {
+    let service = &record.request.service;
+    let has_target = || node.table.borrow().has_usable(service, node.now());
+    while stays(&record) && !has_target() {
         pause(TARGET_POLL_MS).await;
     }
     if stays(&record) {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -152,6 +152,16 @@
         self.upstreams.values()
     }
 
+    /// Whether any upstream of `service` can be chosen at `now`.
+    pub fn has_usable(&self, service: &str, now: Instant) -> bool {
+        let domains = self.groups.get(service).into_iter();
+        let mut names = domains.flat_map(|domains| domains.values()).flatten();
+        names.any(|name| {
+            self.get(name)
+                .is_some_and(|upstream| upstream.is_usable(now))
+        })
+    }
+
     /// Marks an incarnation as leaving, for good.
     pub fn mark_leaving(&mut self, name: &str, incarnation: Incarnation) {
         if let Some(upstream) = self.upstreams.get_mut(name)
--- a/examples/capacity/gossip.rs
+++ b/examples/capacity/gossip.rs
@@ -18,7 +18,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::line;
+use crate::support::line;
 
 const DOMAINS: usize = 14;
 const WARM_UP: usize = 120;
--- a/examples/capacity/machines.rs
+++ b/examples/capacity/machines.rs
@@ -25,7 +25,7 @@
 use lycheehaven_types::Incarnation;
 use lycheehaven_types::Name;
 
-use crate::line;
+use crate::support::line;
 
 const REPEATS: u64 = 20_000;
 
--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -9,10 +9,12 @@
 mod machines;
 mod processes;
 mod relay;
+#[path = "../support/mod.rs"]
+mod support;
 
 use std::path::Path;
 
-use lycheehaven_config::Settings;
+use crate::support::run_entry;
 
 fn main() {
     let part = std::env::args().nth(1).unwrap_or_default();
@@ -34,21 +36,6 @@
     }
 }
 
-fn run_entry(file: &Path) {
-    let settings = Settings::load(file).expect("generated settings are valid");
-    lycheehaven_entry::start_logging(log::LevelFilter::Info).expect("logging starts");
-    let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
-    runtime
-        .block_on(lycheehaven_entry::run(settings))
-        .expect("entry runs");
-}
-
-/// Prints a line of a table.
-#[allow(clippy::print_stdout)]
-fn line(text: impl AsRef<str>) {
-    println!("{}", text.as_ref());
-}
-
 /// Least-squares line through `points`: intercept, slope and the largest
 /// residual.
 fn fit(points: &[(f64, f64)]) -> (f64, f64, f64) {
--- a/examples/capacity/processes.rs
+++ b/examples/capacity/processes.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use crate::fit;
-use crate::line;
+use crate::support::line;
 
 const COUNTS: [usize; 4] = [2, 7, 20, 60];
 const DOMAINS: usize = 14;
--- a/examples/capacity/relay.rs
+++ b/examples/capacity/relay.rs
@@ -11,7 +11,7 @@
 use lycheehaven_standins::Usage;
 use lycheehaven_standins::WORKSPACE_KEY;
 
-use crate::line;
+use crate::support::line;
 
 const SHORT_REQUESTS: usize = 1500;
 const LONG_STREAMS: usize = 64;
--- a/examples/experiment.rs
+++ b/examples/experiment.rs
@@ -5,6 +5,9 @@
 //! The load is open-loop: requests begin at times drawn from the seed, however
 //! long earlier ones take. Started with a settings file it runs an entry.
 
+#[path = "support/mod.rs"]
+mod support;
+
 use std::path::Path;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,7 +15,6 @@
 use futures_util::future::join;
 use futures_util::future::join_all;
 use hdrhistogram::Histogram;
-use lycheehaven_config::Settings;
 use lycheehaven_standins::Client;
 use lycheehaven_standins::Cluster;
 use lycheehaven_standins::EngineParams;
@@ -21,6 +23,9 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::support::line;
+use crate::support::run_entry;
+
 const DOMAINS: [&str; 2] = ["tallinn-a", "tallinn-b"];
 const ENGINES: usize = 8;
 const ENTRIES: usize = 3;
@@ -69,20 +74,6 @@
     }
 }
 
-fn run_entry(file: &Path) {
-    let settings = Settings::load(file).expect("generated settings are valid");
-    let _ = lycheehaven_entry::start_logging(log::LevelFilter::Info);
-    let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
-    runtime
-        .block_on(lycheehaven_entry::run(settings))
-        .expect("entry runs");
-}
-
-#[allow(clippy::print_stdout)]
-fn line(text: impl AsRef<str>) {
-    println!("{}", text.as_ref());
-}
-
 fn compare(what: &str, policies: &[&str], seeds: u64, wave: bool) {
     line(format!("\n## {what}\n"));
     line(
--- /dev/null
+++ b/examples/support/mod.rs
@@ -0,0 +1,21 @@
+//! Shared by the examples that measure.
+
+use std::path::Path;
+
+use lycheehaven_config::Settings;
+
+/// Runs an entry, in a process that an example started of itself.
+pub(crate) fn run_entry(file: &Path) {
+    let settings = Settings::load(file).expect("generated settings are valid");
+    lycheehaven_entry::start_logging(log::LevelFilter::Info).expect("logging starts");
+    let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
+    runtime
+        .block_on(lycheehaven_entry::run(settings))
+        .expect("entry runs");
+}
+
+/// Prints a line of a table.
+#[allow(clippy::print_stdout)]
+pub(crate) fn line(text: impl AsRef<str>) {
+    println!("{}", text.as_ref());
+}
--- a/tests/all/raw_input.rs
+++ b/tests/all/raw_input.rs
@@ -10,28 +10,14 @@
 use hyper::Method;
 use lycheehaven_net::Caller;
 use lycheehaven_standins::Client;
-use lycheehaven_standins::Cluster;
-use lycheehaven_standins::EngineParams;
 use lycheehaven_standins::OTHER_KEY;
 use lycheehaven_standins::WORKSPACE_KEY;
 use serde_json::Value;
 
 use crate::support::DAEMON;
 use crate::support::client;
-use crate::support::cluster;
 use crate::support::run;
-
-const ENTRIES: &[(&str, &str)] = &[("entry-a", "arima"), ("entry-b", "arima")];
-
-async fn start() -> Cluster {
-    cluster(
-        "",
-        ENTRIES,
-        &[("engine-1", "arima")],
-        EngineParams::default(),
-    )
-    .await
-}
+use crate::support::small_cluster;
 
 fn answer_to(addr: std::net::SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(addr).unwrap();
@@ -48,7 +34,7 @@
 #[test]
 fn oversized_headers_and_garbage_are_refused() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         for addr in [cluster.entries[0].listen, cluster.entries[0].peer] {
             let mut endless = b"GET / HTTP/1.1\r\nx-filler: ".to_vec();
             endless.extend(std::iter::repeat_n(b'a', 256 * 1024));
@@ -68,7 +54,7 @@
 #[test]
 fn broken_messages_and_unknown_peers_are_refused() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         let addr = cluster.entries[0].peer;
         let wait = Duration::from_secs(5);
         let paths = [
@@ -104,7 +90,7 @@
 #[test]
 fn slow_sender_is_cut_off() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         let addr = cluster.entries[0].listen;
         let mut slow = TcpStream::connect(addr).unwrap();
         slow.write_all(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
@@ -128,7 +114,7 @@
 #[test]
 fn workspaces_do_not_see_each_other() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         let mut stream = client()
             .stream(cluster.entries[0].listen, "secret len=20")
             .await
@@ -148,7 +134,7 @@
 #[test]
 fn limits_refuse_at_once_and_say_when_to_come_back() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         let change = serde_json::json!({"workspaces": {"riigi": {"rate": 2.0}}});
         cluster.patch(0, 1, "limit", change).await;
         cluster.wait_for_config(2).await;
@@ -219,7 +205,7 @@
 #[test]
 fn slow_and_endless_bodies_get_their_errors() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         let addr = cluster.entries[0].listen;
         let mut slow = head("content-length: 100\r\nconnection: close");
         slow.extend(b"{\"model\"");
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -46,3 +46,10 @@
     cluster.declare_default().await;
     cluster
 }
+
+/// Two entries and one engine of one failure domain, and a plain service.
+pub(crate) async fn small_cluster() -> Cluster {
+    let entries = [("entry-a", "arima"), ("entry-b", "arima")];
+    let engines = [("engine-1", "arima")];
+    cluster("", &entries, &engines, EngineParams::default()).await
+}
--- a/tests/all/tools.rs
+++ b/tests/all/tools.rs
@@ -4,25 +4,12 @@
 use std::process::Output;
 
 use lycheehaven_standins::Cluster;
-use lycheehaven_standins::EngineParams;
 use lycheehaven_standins::OPERATOR_KEY;
 use lycheehaven_standins::WORKSPACE_KEY;
 use serde_json::Value;
 
-use crate::support::cluster;
 use crate::support::run;
-
-const ENTRIES: &[(&str, &str)] = &[("entry-a", "arima"), ("entry-b", "arima")];
-
-async fn start() -> Cluster {
-    cluster(
-        "",
-        ENTRIES,
-        &[("engine-1", "arima")],
-        EngineParams::default(),
-    )
-    .await
-}
+use crate::support::small_cluster;
 
 fn ctl(cluster: &Cluster, args: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lycheectl"));
@@ -43,7 +30,7 @@
 #[test]
 fn load_run_is_reported_and_its_history_verified() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         let folder = tempfile::tempdir().unwrap();
         let scenario = folder.path().join("scenario.toml");
         let history = folder.path().join("history.jsonl");
@@ -75,7 +62,7 @@
 #[test]
 fn commands_answer_and_wrong_ones_say_why() {
     run(async {
-        let cluster = start().await;
+        let cluster = small_cluster().await;
         assert!(text(&ctl(&cluster, &["status"])).contains("entry-b"));
         assert!(text(&ctl(&cluster, &["vms"])).contains("engine-1"));
         assert!(text(&ctl(&cluster, &["config", "get"])).contains("poleer-llm"));
