--- /dev/null
+++ b/crates/catalog/src/belief.rs
@@ -0,0 +1,53 @@
+//! The configuration in force here, with its age.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::catalog::Catalog;
+
+/// The newest known configuration and the time at which it was last proved to
+/// be the newest. Versions only grow.
+#[derive(Debug, Default)]
+pub struct Belief {
+    catalog: Option<Rc<Catalog>>,
+    proved: Option<Instant>,
+}
+
+impl Belief {
+    /// Takes over a configuration. Returns whether it is newer than the known
+    /// one.
+    pub fn adopt(&mut self, catalog: Catalog) -> bool {
+        let newer = self
+            .catalog
+            .as_ref()
+            .is_none_or(|known| catalog.version > known.version);
+        if newer {
+            self.catalog = Some(Rc::new(catalog));
+        }
+        newer
+    }
+
+    /// Notes that the store, asked at `sent`, had nothing newer.
+    pub fn prove(&mut self, sent: Instant) {
+        if self.proved.is_none_or(|known| known < sent) {
+            self.proved = Some(sent);
+        }
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<&Rc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Time since the configuration was last proved to be the newest.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.catalog.as_ref()?;
+        Some(now.saturating_duration_since(self.proved?))
+    }
+
+    /// Whether the age is below `bound`.
+    pub fn fresh(&self, now: Instant, bound: Duration) -> bool {
+        self.age(now).is_some_and(|age| age < bound)
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/directory.rs
@@ -0,0 +1,159 @@
+//! The upstreams that are registered.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_types::HashMap;
+use lycheehaven_types::HashSet;
+use lycheehaven_types::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One run of an upstream. An upstream may start again under its old id.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UpstreamKey {
+    /// Registered id.
+    pub id: Name,
+    /// Start of this run, in milliseconds since the Unix epoch; 0 if unknown.
+    pub born: u64,
+}
+
+/// What an upstream says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It takes requests.
+    Ready,
+    /// It takes no new requests and ends after this time, if known.
+    Draining(Option<Duration>),
+}
+
+/// A registered upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Upstream {
+    /// Which run of which upstream.
+    pub key: UpstreamKey,
+    /// Service that it serves.
+    pub service: Name,
+    /// Address for requests.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: Name,
+    /// Requests that it runs at once; 0 if unknown.
+    pub slots: u32,
+    /// State.
+    pub state: UpstreamState,
+    /// Whether it may be reclaimed.
+    pub spot: bool,
+}
+
+/// Registered upstreams, and those whose leaving was heard of. A run that was
+/// seen draining never counts as ready again, whichever message says so.
+#[derive(Debug, Default)]
+pub struct Directory {
+    upstreams: HashMap<Name, Upstream>,
+    leaving: HashMap<UpstreamKey, Instant>,
+    lapsing: HashSet<Name>,
+    hold: Option<Instant>,
+}
+
+impl Directory {
+    /// Time for which a leaving run is remembered.
+    const REMEMBER: Duration = Duration::from_secs(120);
+
+    /// Keeps upstreams whose entries are missing until `until`: entries lapse
+    /// while the store is away and are written again after its return.
+    pub fn hold_lapsed(&mut self, until: Instant) {
+        self.hold = Some(until);
+    }
+
+    /// Takes over a full list.
+    pub fn replace(&mut self, list: Vec<Upstream>, now: Instant) {
+        let ids: HashSet<Name> = list.iter().map(|up| up.key.id.clone()).collect();
+        let gone: Vec<Name> = self
+            .upstreams
+            .keys()
+            .filter(|id| !ids.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove(&id, now);
+        }
+        for upstream in list {
+            self.update(upstream, now);
+        }
+        self.leaving
+            .retain(|_, heard| now.saturating_duration_since(*heard) < Self::REMEMBER);
+    }
+
+    /// Takes over one entry. Returns whether its run is newly leaving.
+    pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
+        let key = upstream.key.clone();
+        let draining = matches!(upstream.state, UpstreamState::Draining(_));
+        self.lapsing.remove(&key.id);
+        self.upstreams.insert(key.id.clone(), upstream);
+        draining && self.leave(&key, now)
+    }
+
+    /// Forgets an upstream whose entry is gone, at once or when the hold ends.
+    pub fn remove(&mut self, id: &Name, now: Instant) {
+        if self.hold.is_some_and(|until| now < until) {
+            self.lapsing.insert(id.clone());
+        } else {
+            self.upstreams.remove(id);
+        }
+    }
+
+    /// Forgets upstreams whose entries are still missing after the hold.
+    /// Returns how many these were.
+    pub fn expire(&mut self, now: Instant) -> usize {
+        if self.hold.is_none_or(|until| now < until) {
+            return 0;
+        }
+        self.hold = None;
+        let lapsed: Vec<Name> = self.lapsing.drain().collect();
+        for id in &lapsed {
+            self.upstreams.remove(id);
+        }
+        lapsed.len()
+    }
+
+    /// Remembers that a run leaves. Returns whether this was news.
+    pub fn leave(&mut self, key: &UpstreamKey, now: Instant) -> bool {
+        self.leaving.insert(key.clone(), now).is_none()
+    }
+
+    /// Runs that are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = &UpstreamKey> {
+        self.leaving.keys()
+    }
+
+    /// Whether a run may be given new requests.
+    pub fn usable(&self, upstream: &Upstream) -> bool {
+        upstream.state == UpstreamState::Ready && !self.leaving.contains_key(&upstream.key)
+    }
+
+    /// Whether `key` is registered and takes requests.
+    pub fn is_open(&self, key: &UpstreamKey) -> bool {
+        self.upstreams
+            .get(&key.id)
+            .is_some_and(|up| up.key == *key && self.usable(up))
+    }
+
+    /// Upstreams of `service` that may be given new requests.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        self.of(service).filter(|up| self.usable(up))
+    }
+
+    /// All registered upstreams of `service`.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams
+            .values()
+            .filter(move |up| &*up.service == service)
+    }
+
+    /// All registered upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+}
--- /dev/null
+++ b/crates/channels/src/channel.rs
@@ -0,0 +1,148 @@
+//! One connection to an upstream.
+
+use std::cell::Cell;
+use std::fmt;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
+use cyper_core::HyperStream;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use lycheehaven_net::Body;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+
+/// Time without an acknowledgement after which a connection is given up.
+const SILENCE: Duration = Duration::from_millis(2500);
+
+/// Time between keep-alive probes.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    NotSent,
+    /// The request may have been received.
+    Uncertain(String),
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent => f.write_str("the connection closed before the request was sent"),
+            Self::Uncertain(cause) => write!(f, "sent without an answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for SendError {}
+
+/// A connection to an upstream. Dropping it closes the connection at once,
+/// which tells the upstream to stop working on the request.
+pub struct Channel {
+    sender: SendRequest<Body>,
+    stream: TcpStream,
+    _driver: JoinHandle<()>,
+    _count: OpenCount,
+}
+
+impl Channel {
+    /// Connects to `addr` within `wait` and counts the connection in `open`
+    /// for as long as it stands.
+    ///
+    /// # Errors
+    /// The reason why the connection could not be made.
+    pub async fn open(
+        addr: SocketAddr,
+        wait: Duration,
+        open: Rc<Cell<usize>>,
+    ) -> Result<Self, String> {
+        let count = OpenCount::new(open);
+        let stream = match compio::time::timeout(wait, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(cause)) => return Err(cause.to_string()),
+            Err(_) => return Err("connecting timed out".into()),
+        };
+        watch_silence(&stream).map_err(|cause| format!("setting socket options: {cause}"))?;
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream.clone()))
+            .await
+            .map_err(|cause| cause.to_string())?;
+        let driver = compio::runtime::spawn(async move {
+            // The sender or the response body sees the error as well.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            stream,
+            _driver: driver,
+            _count: count,
+        })
+    }
+
+    /// Whether the upstream has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Whether the connection is open and the last answer is complete.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Sends a request and returns once the head of its answer is in.
+    ///
+    /// # Errors
+    /// Whether the request can have reached the upstream.
+    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendError> {
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| match error.take_message() {
+                Some(_) => SendError::NotSent,
+                None => SendError::Uncertain(error.into_error().to_string()),
+            })
+    }
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        // The driver's task may be collected later than the socket should be
+        // closed. A socket that is closed already gives an error.
+        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
+    }
+}
+
+struct OpenCount(Rc<Cell<usize>>);
+
+impl OpenCount {
+    fn new(open: Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open)
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Makes the kernel notice an upstream that no longer answers.
+fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(SILENCE))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/duties/src/usage.rs
@@ -0,0 +1,118 @@
+//! Requests that began, by window and workspace.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lycheehaven_types::HashMap;
+use lycheehaven_types::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Windows that are kept.
+const KEPT: usize = 8;
+
+/// Windows that peers are told of.
+const TOLD: usize = 4;
+
+/// Requests that began in one window, by workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Number of the window since the start of 1970.
+    pub window: u64,
+    /// Requests by workspace.
+    pub counts: HashMap<Name, u64>,
+}
+
+type Windows = BTreeMap<u64, HashMap<Name, u64>>;
+
+/// Counts of this entry and its peers. Each entry tells its own counts in
+/// full, so a lost message loses nothing, and counts of a run of a peer that
+/// has ended still stand.
+#[derive(Debug)]
+pub struct Usage {
+    window: Duration,
+    own: Windows,
+    peers: HashMap<(Name, u64), Windows>,
+}
+
+impl Usage {
+    /// Counts by windows of this length.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window: window.max(Duration::from_millis(1)),
+            own: Windows::new(),
+            peers: HashMap::default(),
+        }
+    }
+
+    /// Number of the window that holds `millis` since the Unix epoch.
+    pub fn window_at(&self, millis: i64) -> u64 {
+        millis.max(0) as u64 / self.window.as_millis() as u64
+    }
+
+    /// End of a window, in milliseconds since the Unix epoch.
+    pub fn end(&self, window: u64) -> i64 {
+        ((window + 1) * self.window.as_millis() as u64) as i64
+    }
+
+    /// Counts a request that began at `millis` since the Unix epoch.
+    pub fn count(&mut self, workspace: &Name, millis: i64) {
+        let window = self.window_at(millis);
+        let counts = self.own.entry(window).or_default();
+        *counts.entry(workspace.clone()).or_insert(0) += 1;
+        trim(&mut self.own);
+    }
+
+    /// The latest counts of this entry, for peers.
+    pub fn report(&self) -> Vec<Counts> {
+        self.own
+            .iter()
+            .rev()
+            .take(TOLD)
+            .map(|(window, counts)| Counts {
+                window: *window,
+                counts: counts.clone(),
+            })
+            .collect()
+    }
+
+    /// Takes over the counts of one run of a peer.
+    pub fn hear(&mut self, peer: &Name, incarnation: u64, reports: Vec<Counts>) {
+        let windows = self.peers.entry((peer.clone(), incarnation)).or_default();
+        for report in reports {
+            windows.insert(report.window, report.counts);
+        }
+        trim(windows);
+        let newest = self.newest();
+        self.peers
+            .retain(|_, windows| windows.keys().any(|window| window + KEPT as u64 > newest));
+    }
+
+    /// What began in a window, over all entries.
+    pub fn total(&self, window: u64) -> HashMap<Name, u64> {
+        let mut total: HashMap<Name, u64> = HashMap::default();
+        let peers = self.peers.values();
+        for counts in peers.chain([&self.own]).filter_map(|windows| windows.get(&window)) {
+            for (workspace, count) in counts {
+                *total.entry(workspace.clone()).or_insert(0) += count;
+            }
+        }
+        total
+    }
+
+    fn newest(&self) -> u64 {
+        let peers = self.peers.values();
+        peers
+            .chain([&self.own])
+            .filter_map(|windows| windows.keys().next_back())
+            .copied()
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+fn trim(windows: &mut Windows) {
+    while windows.len() > KEPT {
+        windows.pop_first();
+    }
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -52,7 +52,7 @@
     let peer = bind(settings.peer_listen).await.wrap_err("peer_listen")?;
     let listen = front.local_addr()?;
     let peer_addr = peer.local_addr()?;
-    let node = Node::new(settings, peer_addr, Rc::new(SystemClock));
+    let node = Node::new(settings, peer_addr, Rc::new(SystemClock::new()));
     log::info!(
         target: "lycheehaven",
         name = &*node.settings.name,
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,310 @@
+//! One sending of a request to an upstream.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use lycheehaven_adapter::caller::CallerHead;
+use lycheehaven_adapter::upstream;
+use lycheehaven_adapter::upstream::AnswerHead;
+use lycheehaven_adapter::upstream::MemorySource;
+use lycheehaven_adapter::upstream::UpstreamCall;
+use lycheehaven_catalog::Route;
+use lycheehaven_catalog::Upstream;
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_channels::Channel;
+use lycheehaven_channels::SendError;
+use lycheehaven_dispatch::Told;
+use lycheehaven_net::Body;
+use lycheehaven_types::Digest;
+use lycheehaven_types::Name;
+
+use crate::node::Node;
+
+/// Longest wait for a connection.
+const CONNECT_WAIT: Duration = Duration::from_millis(400);
+
+/// Time on the way to the upstream, taken off the deadline that it is told.
+const HOP: Duration = Duration::from_millis(5);
+
+/// Time for which an idle connection is kept if the upstream tells none.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// Part of the time that the upstream tells for which an idle connection is
+/// kept.
+const IDLE_PART: f64 = 0.7;
+
+/// Age up to which an idle connection carries requests that must not be lost.
+/// A request on a connection that the upstream is just closing may have run.
+const SAFE_IDLE: Duration = Duration::from_millis(1500);
+
+/// A request on its way.
+pub(crate) struct Job {
+    pub(crate) method: Method,
+    pub(crate) target: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) head: CallerHead,
+    pub(crate) body: Bytes,
+    pub(crate) route: Rc<Route>,
+    pub(crate) service: Name,
+    pub(crate) workspace: Option<Name>,
+    pub(crate) priority: u8,
+    pub(crate) received: Instant,
+    pub(crate) until: Instant,
+    pub(crate) digest: Digest,
+}
+
+impl Job {
+    /// Name of the request in logs.
+    pub(crate) fn id(&self) -> &str {
+        self.head
+            .id
+            .as_ref()
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or("-")
+    }
+
+    /// Time that is left at `now`.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        self.until.saturating_duration_since(now)
+    }
+
+    fn prompt_tokens(&self) -> u64 {
+        self.head.tokens.map_or(0, |tokens| tokens.prompt)
+    }
+}
+
+/// Where a stream goes on that has been sent in part.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct Resume {
+    pub(crate) last_event: Option<u64>,
+    pub(crate) memory: Option<MemorySource>,
+}
+
+/// Counts a request at an upstream for as long as it may run there.
+pub(crate) struct Ticket {
+    node: Rc<Node>,
+    key: UpstreamKey,
+    unread: Cell<u64>,
+}
+
+impl Ticket {
+    fn new(node: &Rc<Node>, key: &UpstreamKey, unread: u64) -> Self {
+        node.book.borrow_mut().begin(key, unread);
+        Self {
+            node: node.clone(),
+            key: key.clone(),
+            unread: Cell::new(unread),
+        }
+    }
+
+    /// Notes that the upstream has begun to answer.
+    pub(crate) fn answered(&self) {
+        let unread = self.unread.take();
+        self.node.book.borrow_mut().answered(&self.key, unread);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.answered();
+        self.node.book.borrow_mut().end(&self.key);
+    }
+}
+
+/// An answer that has begun. Dropping it tells the upstream to stop.
+pub(crate) struct Answered {
+    pub(crate) upstream: Upstream,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) head: AnswerHead,
+    pub(crate) channel: Channel,
+    pub(crate) ticket: Ticket,
+}
+
+/// How a sending ended.
+pub(crate) enum Outcome {
+    /// The upstream answers, with success or a failure of its own.
+    Answered(Box<Answered>),
+    /// No byte was sent: the upstream can't be reached.
+    Unreachable(String),
+    /// The upstream states that it did not run the request.
+    Refused(StatusCode),
+    /// The request was sent and may have run, without a usable answer.
+    Lost(String),
+}
+
+/// Sends `job` to `target` and waits until `until` for the head of the answer.
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    job: &Job,
+    target: &Upstream,
+    resume: &Resume,
+    until: Instant,
+) -> Outcome {
+    let ticket = Ticket::new(node, &target.key, job.prompt_tokens());
+    let mut fresh = false;
+    loop {
+        let mut channel = match connect(node, job, target, fresh).await {
+            Ok(channel) => channel,
+            Err(cause) => return Outcome::Unreachable(cause),
+        };
+        let request = build(node, job, target, resume);
+        node.metrics.sends.inc();
+        let wait = until.saturating_duration_since(node.now());
+        match compio::time::timeout(wait, channel.send(request)).await {
+            Ok(Ok(response)) => {
+                return classify(node, job, target.clone(), response, channel, ticket);
+            }
+            Ok(Err(SendError::NotSent)) if !fresh => fresh = true,
+            Ok(Err(SendError::NotSent)) => {
+                return Outcome::Unreachable("the connection was closed".into());
+            }
+            Ok(Err(SendError::Uncertain(cause))) => {
+                let now = node.now();
+                node.suspects
+                    .borrow_mut()
+                    .broke(job.digest, &target.key, now);
+                return Outcome::Lost(cause);
+            }
+            Err(_) => return Outcome::Lost("no answer in time".into()),
+        }
+    }
+}
+
+/// Takes an idle connection or makes a new one.
+async fn connect(
+    node: &Rc<Node>,
+    job: &Job,
+    target: &Upstream,
+    fresh: bool,
+) -> Result<Channel, String> {
+    let now = node.now();
+    if !fresh {
+        let taken = node.pool.borrow_mut().take(&target.key, now);
+        if let Some((channel, idle)) = taken {
+            if job.route.repeatable() || idle < SAFE_IDLE {
+                return Ok(channel);
+            }
+        }
+    }
+    let open = node.pool.borrow_mut().open(&target.key);
+    let result = Channel::open(target.addr, CONNECT_WAIT, open).await;
+    node.metrics.connections.inc();
+    if let Err(cause) = &result {
+        node.book.borrow_mut().penalize(&target.key, node.now());
+        node.upstream_down(&target.key, cause);
+    }
+    result
+}
+
+fn build(node: &Node, job: &Job, target: &Upstream, resume: &Resume) -> Request<Body> {
+    let call = UpstreamCall {
+        deadline: job
+            .head
+            .deadline
+            .map(|_| job.left(node.now()).saturating_sub(HOP)),
+        upstream: Some(target.key.id.clone()),
+        workspace: job.workspace.clone(),
+        priority: Some(job.priority),
+        last_event: resume.last_event,
+        memory: resume.memory.clone(),
+    };
+    let mut request = Request::new(Body::full(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.target.parse().expect("the target was parsed before");
+    *request.headers_mut() = upstream::call_headers(&job.headers, &call);
+    request
+}
+
+fn classify(
+    node: &Rc<Node>,
+    job: &Job,
+    target: Upstream,
+    response: Response<Incoming>,
+    channel: Channel,
+    ticket: Ticket,
+) -> Outcome {
+    let status = response.status();
+    let head = upstream::read_answer(status, response.headers());
+    if let Some(load) = head.load {
+        let told = Told {
+            requests: load.running + load.waiting,
+            at: node.now(),
+        };
+        node.book.borrow_mut().tell(&target.key, told);
+    }
+    if head.id.is_some() && head.id != job.head.id {
+        return Outcome::Lost("the answer belongs to another request".into());
+    }
+    if head.not_run {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            node.upstream_down(&target.key, "another upstream has its address");
+            node.book.borrow_mut().penalize(&target.key, node.now());
+        }
+        drop(ticket);
+        recycle_refusal(node, target, head, channel, response);
+        return Outcome::Refused(status);
+    }
+    if status.is_success() && (!head.signed || head.encoded || head.id.is_none()) {
+        return Outcome::Lost("the success is not the upstream's own".into());
+    }
+    if claims_not_run(status) {
+        return Outcome::Lost(format!("status {status} without a statement of not running"));
+    }
+    Outcome::Answered(Box::new(Answered {
+        upstream: target,
+        response,
+        head,
+        channel,
+        ticket,
+    }))
+}
+
+/// Statuses that promise callers that a request has not run.
+fn claims_not_run(status: StatusCode) -> bool {
+    [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ]
+    .contains(&status)
+}
+
+/// Reads the body of a refusal aside, so that its connection can be used again.
+fn recycle_refusal(
+    node: &Rc<Node>,
+    target: Upstream,
+    head: AnswerHead,
+    channel: Channel,
+    response: Response<Incoming>,
+) {
+    const MAX_REFUSAL: usize = 16 * 1024;
+    const REFUSAL_WAIT: Duration = Duration::from_millis(200);
+    let node = node.clone();
+    crate::node::spawn(async move {
+        let body = response.into_body();
+        let read = lycheehaven_net::read_body(body, MAX_REFUSAL, REFUSAL_WAIT).await;
+        if read.is_ok() {
+            recycle(&node, &target.key, &head, channel);
+        }
+    });
+}
+
+/// Keeps a connection whose answer is complete.
+pub(crate) fn recycle(node: &Node, key: &UpstreamKey, head: &AnswerHead, channel: Channel) {
+    if head.closing {
+        return;
+    }
+    let keep = head.idle.map_or(IDLE, |idle| idle.mul_f64(IDLE_PART));
+    let now = node.now();
+    node.pool.borrow_mut().put(key, channel, keep, now);
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,194 @@
+//! Start, loops and end of a gateway.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use compio::net::UdpSocket;
+use eyre::Result;
+use eyre::WrapErr;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use lycheehaven_net::Body;
+use lycheehaven_net::ServerLimits;
+use lycheehaven_net::bytes_response;
+use lycheehaven_net::serve;
+use lycheehaven_types::SystemClock;
+
+use crate::duty;
+use crate::exchange;
+use crate::front;
+use crate::lease::LeaseHandle;
+use crate::node::Node;
+use crate::node::pause;
+use crate::node::spawn;
+use crate::settings::Settings;
+use crate::watch;
+
+const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Descriptors that are kept for files, peers and upstreams.
+const RESERVED_DESCRIPTORS: usize = 1200;
+
+/// Time that a connection of a caller may stay idle. It is longer than clients
+/// reuse connections, so that no request crosses the closing.
+const IDLE: Duration = Duration::from_secs(20);
+
+/// Interval of the housekeeping, in milliseconds.
+const SWEEP_MS: u64 = 500;
+
+/// Time for which new callers still arrive after the entry says that it is not
+/// ready.
+const BALANCER_LAG: Duration = Duration::from_millis(2500);
+
+/// Time without an open request after which a stopping entry ends.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Part of the time to stop after which the entry ends whatever is open.
+const GRACE_PART: f64 = 0.95;
+
+/// Runs a gateway until it is told to stop and its requests have ended.
+pub async fn run(settings: Settings) -> Result<()> {
+    let front = bind(settings.listen).await.wrap_err("listen")?;
+    let ready = bind(settings.ready_listen).await.wrap_err("ready_listen")?;
+    let metrics = bind(settings.metrics_listen).await.wrap_err("metrics_listen")?;
+    let peers = UdpSocket::bind(settings.peer_listen)
+        .await
+        .wrap_err("peer_listen")?;
+    let peers = Rc::new(peers);
+    let node = Node::new(settings, Rc::new(SystemClock::new()));
+    log::info!(
+        target: "lycheehaven",
+        name = &*node.settings.name,
+        domain = &*node.settings.domain,
+        version = env!("CARGO_PKG_VERSION"),
+        listen = node.settings.listen.to_string().as_str();
+        "started"
+    );
+    spawn_servers(&node, front, ready, metrics);
+    spawn_signals(&node);
+    spawn(watch::follow_config(node.clone()));
+    spawn(watch::follow_servers(node.clone()));
+    spawn(watch::follow_members(node.clone()));
+    spawn(exchange::register(node.clone()));
+    spawn(exchange::send(node.clone(), peers.clone()));
+    spawn(exchange::receive(node.clone(), peers));
+    let lease = LeaseHandle::new(&node);
+    spawn(lease.clone().run());
+    spawn(duty::run(node.clone(), lease));
+    spawn(sweep(node.clone()));
+    wait_and_drain(&node).await;
+    log::info!(target: "lycheehaven", open = node.open.get(); "stopped");
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .wrap_err_with(|| format!("can't listen on {addr}"))
+}
+
+fn spawn_servers(node: &Rc<Node>, front: TcpListener, ready: TcpListener, metrics: TcpListener) {
+    let limits = ServerLimits {
+        connections: node
+            .settings
+            .descriptors
+            .saturating_sub(RESERVED_DESCRIPTORS)
+            .max(64),
+        header_wait: IDLE,
+        ..ServerLimits::default()
+    };
+    let handler = node.clone();
+    spawn(serve(front, limits, node.stop.clone(), move |request| {
+        let node = handler.clone();
+        front::handle(node, request)
+    }));
+    let handler = node.clone();
+    let token = node.stop.clone();
+    spawn(serve(ready, ServerLimits::default(), token, move |_| {
+        let ready = handler.is_ready();
+        async move { readiness(ready) }
+    }));
+    let handler = node.clone();
+    let token = node.stop.clone();
+    let answer = move |_: Request<Incoming>| {
+        let text = handler.metrics.text();
+        async move { bytes_response(200, "text/plain; version=1.0.0", text) }
+    };
+    spawn(serve(metrics, ServerLimits::default(), token, answer));
+}
+
+fn readiness(ready: bool) -> Response<Body> {
+    let mut response = Response::new(Body::full(""));
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+fn spawn_signals(node: &Rc<Node>) {
+    for signal in [SIGHUP, SIGINT, SIGTERM] {
+        let node = node.clone();
+        spawn(async move {
+            loop {
+                if let Err(cause) = compio::signal::unix::signal(signal).await {
+                    log::error!(target: "lycheehaven", signal = signal, cause = cause.to_string().as_str(); "signals can't be received");
+                    return;
+                }
+                log::info!(target: "lycheehaven", signal = signal; "signal received");
+                if signal != SIGHUP {
+                    node.stopping.set(true);
+                    node.stop_asked.cancel();
+                }
+            }
+        });
+    }
+}
+
+/// Forgets what is outdated, at intervals.
+async fn sweep(node: Rc<Node>) {
+    let cache_age = Duration::from_secs_f64(node.settings.bounds.again_s * 3.0);
+    loop {
+        let now = node.now();
+        let lapsed = node.directory.borrow_mut().expire(now);
+        if lapsed > 0 {
+            log::info!(target: "lycheehaven", count = lapsed; "upstreams whose entries did not come back are gone");
+        }
+        let directory = node.directory.borrow();
+        node.pool.borrow_mut().sweep(|key| directory.is_open(key), now);
+        node.book
+            .borrow_mut()
+            .sweep(|key| directory.is_open(key), cache_age, now);
+        drop(directory);
+        pause(SWEEP_MS).await;
+    }
+}
+
+/// Waits for the signal to stop, then until the open requests have ended.
+async fn wait_and_drain(node: &Rc<Node>) {
+    node.stop_asked.cancelled().await;
+    let asked = node.now();
+    let grace = Duration::from_secs_f64(node.settings.bounds.grace_s * GRACE_PART);
+    let mut quiet_since = None;
+    loop {
+        pause(50).await;
+        let now = node.now();
+        let since_asked = now.saturating_duration_since(asked);
+        if since_asked >= grace {
+            return;
+        }
+        if node.open.get() > 0 {
+            quiet_since = None;
+            continue;
+        }
+        let quiet = now.saturating_duration_since(*quiet_since.get_or_insert(now));
+        if since_asked >= BALANCER_LAG && quiet >= QUIET {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/duty.rs
@@ -0,0 +1,317 @@
+//! The duties of the lease's holder: usage reports and orders for engines.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use lycheehaven_adapter::cloud;
+use lycheehaven_catalog::Service;
+use lycheehaven_catalog::UpstreamState;
+use lycheehaven_duties::Counts;
+use lycheehaven_duties::Fleet;
+use lycheehaven_duties::Order;
+use lycheehaven_duties::Scaler;
+use lycheehaven_net::Caller;
+use lycheehaven_types::HashMap;
+use lycheehaven_types::Name;
+use serde::Deserialize;
+
+use crate::exchange::MEMBERS;
+use crate::lease::LeaseHandle;
+use crate::node::Node;
+use crate::node::pause;
+use crate::settings::CloudSettings;
+use crate::settings::Duty;
+use crate::store::Written;
+
+/// Kind and name of the last usage report in the store.
+const USAGE: (&str, &str) = ("lycheehaven-usage", "last");
+
+/// Interval between looks at the duties, in milliseconds.
+const TICK_MS: u64 = 250;
+
+/// Longest wait for the cloud's answer.
+const CLOUD_WAIT: Duration = Duration::from_millis(800);
+
+/// Time after a window's end until the peers' counts are in.
+const SETTLE_MS: i64 = 1500;
+
+/// Further time that is waited while peers are silent.
+const SETTLE_SILENT_MS: i64 = 3500;
+
+/// Silence after which a peer's entry is removed from the store.
+const MEMBER_GONE: Duration = Duration::from_secs(15);
+
+/// Runs the duties whenever this entry holds the lease.
+pub(crate) async fn run(node: Rc<Node>, lease: Rc<LeaseHandle>) {
+    let Some(cloud) = node.settings.cloud.clone() else {
+        return;
+    };
+    let mut duties = Duties {
+        caller: Caller::new(),
+        cloud,
+        lease,
+        reported: None,
+        scalers: HashMap::default(),
+        held: None,
+        node,
+    };
+    loop {
+        duties.tick().await;
+        pause(TICK_MS).await;
+    }
+}
+
+/// The last usage report, as it stands in the store.
+#[derive(Debug)]
+struct Reported {
+    revision: u64,
+    counts: Counts,
+    delivered: bool,
+}
+
+struct Duties {
+    node: Rc<Node>,
+    caller: Caller,
+    cloud: CloudSettings,
+    lease: Rc<LeaseHandle>,
+    reported: Option<Reported>,
+    scalers: HashMap<Name, Scaler>,
+    held: Option<u64>,
+}
+
+impl Duties {
+    async fn tick(&mut self) {
+        let fence = self.lease.fence();
+        if fence != self.held {
+            // Another holder may have reported and ordered meanwhile.
+            self.reported = None;
+            self.scalers.clear();
+            self.held = fence;
+        }
+        if fence.is_none() {
+            return;
+        }
+        if self.cloud.duties.contains(&Duty::Usage) {
+            self.report_usage().await;
+        }
+        if self.cloud.duties.contains(&Duty::Scaling) {
+            self.order_engines().await;
+        }
+        self.remove_silent().await;
+    }
+
+    /// Delivers the last report and decides the next one when it is due.
+    async fn report_usage(&mut self) {
+        if self.reported.is_none() {
+            self.load_reported().await;
+        }
+        let undelivered = self.reported.as_ref().filter(|last| !last.delivered);
+        if let Some(last) = undelivered {
+            let counts = last.counts.clone();
+            if self.deliver(&counts).await {
+                if let Some(last) = &mut self.reported {
+                    last.delivered = true;
+                }
+            }
+            return;
+        }
+        if let Some(window) = self.next_window() {
+            self.decide(window).await;
+        }
+    }
+
+    async fn load_reported(&mut self) {
+        match self.node.store.read(USAGE.0, USAGE.1).await {
+            Ok(None) => {}
+            Ok(Some(object)) => match Counts::deserialize(&object.spec) {
+                Ok(counts) => {
+                    self.reported = Some(Reported {
+                        revision: object.revision,
+                        counts,
+                        delivered: false,
+                    });
+                }
+                Err(cause) => {
+                    let cause = cause.to_string();
+                    log::error!(target: "lycheehaven", cause = cause.as_str(); "the last usage report can't be decoded");
+                }
+            },
+            Err(cause) => {
+                let cause = cause.to_string();
+                log::info!(target: "lycheehaven", cause = cause.as_str(); "the last usage report can't be read");
+            }
+        }
+    }
+
+    /// The next window whose counts are complete.
+    fn next_window(&self) -> Option<u64> {
+        let node = &self.node;
+        let now_ms = node.wall_millis();
+        let usage = node.usage.borrow();
+        let late = (node.settings.bounds.usage_late_s * 1000.0) as i64;
+        let newest = usage.window_at(now_ms).checked_sub(1)?;
+        let mut next = match &self.reported {
+            Some(last) => last.counts.window + 1,
+            None => newest,
+        };
+        // What is overdue can't be reported any more.
+        while next < newest && usage.end(next) + late < now_ms {
+            next += 1;
+        }
+        let peers = node.members.borrow().count() - 1;
+        let heard = node.members.borrow().heard(&node.settings.name, node.now());
+        let settle = if heard < peers { SETTLE_SILENT_MS } else { SETTLE_MS };
+        (next <= newest && usage.end(next) + settle <= now_ms).then_some(next)
+    }
+
+    /// Writes a window's counts into the store, so that every later holder
+    /// repeats the same ones.
+    async fn decide(&mut self, window: u64) {
+        let counts = Counts {
+            window,
+            counts: self.node.usage.borrow().total(window),
+        };
+        let store = &self.node.store;
+        let result = match &self.reported {
+            None => store.create(USAGE.0, USAGE.1, &counts).await,
+            Some(last) => {
+                let revision = Some(last.revision);
+                store.replace(USAGE.0, USAGE.1, revision, &counts).await
+            }
+        };
+        match result {
+            Ok(Written::Done(revision)) => {
+                self.reported = Some(Reported {
+                    revision,
+                    counts,
+                    delivered: false,
+                });
+                Box::pin(self.report_usage()).await;
+            }
+            // Another holder was faster, or an earlier write took effect late.
+            Ok(Written::Conflict) => self.reported = None,
+            Err(cause) => {
+                self.reported = None;
+                let cause = cause.to_string();
+                log::info!(target: "lycheehaven", window = window, cause = cause.as_str(); "the usage report can't be written");
+            }
+        }
+    }
+
+    async fn deliver(&self, counts: &Counts) -> bool {
+        let body = cloud::usage_body(counts.window, &counts.counts);
+        let Some(status) = self.call(cloud::USAGE_PATH, body).await else {
+            return false;
+        };
+        log::info!(target: "lycheehaven", window = counts.window, status = status; "usage reported");
+        (200..300).contains(&status) || (400..429).contains(&status)
+    }
+
+    /// Calls the cloud under the lease. `None` if no answer came.
+    async fn call(&self, path: &str, body: Vec<u8>) -> Option<u16> {
+        let fence = self.lease.fence()?;
+        let headers = cloud::holder_headers(&self.node.settings.name, fence);
+        let result = self
+            .caller
+            .call_with(Method::POST, self.cloud.address, path, &headers, body, CLOUD_WAIT)
+            .await;
+        match result {
+            Ok(reply) => Some(reply.status),
+            Err(cause) => {
+                let cause = cause.to_string();
+                log::warn!(target: "lycheehaven", path = path, cause = cause.as_str(); "the cloud gave no answer");
+                None
+            }
+        }
+    }
+
+    async fn order_engines(&mut self) {
+        let Some(catalog) = self.node.belief.borrow().catalog().cloned() else {
+            return;
+        };
+        for service in catalog.services.values() {
+            for order in self.plan(service) {
+                self.order(service, &order).await;
+            }
+        }
+    }
+
+    fn plan(&mut self, service: &Service) -> Vec<Order> {
+        let Some(scaling) = &service.scaling else {
+            return Vec::new();
+        };
+        let now = self.node.now();
+        let fleet = fleet(&self.node, &service.name);
+        let need = need(&self.node, service, now);
+        let scaler = self.scalers.entry(service.name.clone()).or_default();
+        scaler.plan(scaling, &self.node.settings.domains, &fleet, need, now)
+    }
+
+    async fn order(&mut self, service: &Service, order: &Order) {
+        let body = cloud::scale_body(&service.name, &order.domain, order.spot, order.desired);
+        let Some(status) = self.call(cloud::SCALE_PATH, body).await else {
+            return;
+        };
+        let now = self.node.now();
+        let scaler = self.scalers.entry(service.name.clone()).or_default();
+        match status {
+            200..300 => scaler.accepted(order, now),
+            _ => scaler.refused(order, now),
+        }
+        log::info!(
+            target: "lycheehaven",
+            service = &*service.name, domain = &*order.domain, spot = order.spot,
+            desired = order.desired, status = status;
+            "engines ordered"
+        );
+    }
+
+    /// Removes the entries of peers that are gone for good.
+    async fn remove_silent(&self) {
+        let node = &self.node;
+        let now = node.now();
+        let me = &node.settings.name;
+        let silent = node.members.borrow_mut().silent(me, MEMBER_GONE, now);
+        for name in silent {
+            if let Err(cause) = node.store.delete(MEMBERS, &name).await {
+                let cause = cause.to_string();
+                log::info!(target: "lycheehaven", entry = &*name, cause = cause.as_str(); "the entry of a silent peer can't be removed");
+                return;
+            }
+            log::info!(target: "lycheehaven", entry = &*name; "removed the entry of a silent peer");
+        }
+    }
+}
+
+/// The engines of a service by failure domain and kind.
+fn fleet(node: &Node, service: &str) -> Fleet {
+    let directory = node.directory.borrow();
+    let mut fleet = Fleet::default();
+    for upstream in directory.of(service) {
+        let pool = fleet
+            .entry((upstream.domain.clone(), upstream.spot))
+            .or_default();
+        if upstream.state == UpstreamState::Ready && directory.usable(upstream) {
+            pool.ready += 1;
+        } else {
+            pool.leaving += 1;
+        }
+    }
+    fleet
+}
+
+/// Engines that the present load needs.
+fn need(node: &Node, service: &Service, now: Instant) -> u32 {
+    let book = node.book.borrow();
+    let directory = node.directory.borrow();
+    let requests: u32 = directory
+        .of(&service.name)
+        .map(|upstream| book.requests(&upstream.key, now))
+        .sum();
+    let slots = service.engine.as_ref().map_or(1, |engine| engine.slots.max(1));
+    let comfortable = f64::from(slots) * 0.25;
+    let by_load = (f64::from(requests) / comfortable).ceil() as u32;
+    by_load.max(12)
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,329 @@
+//! What the entries tell each other, as datagrams.
+//!
+//! Each entry sends its own counts in full at short intervals. A lost datagram
+//! loses nothing, and nothing in it is needed for safety.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::net::UdpSocket;
+use lycheehaven_adapter::store::Object;
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_dispatch::LoadReport;
+use lycheehaven_duties::Counts;
+use lycheehaven_types::Digest;
+use lycheehaven_types::HashMap;
+use lycheehaven_types::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::node::Node;
+use crate::node::pause;
+
+/// Kind of the entries' own objects in the store.
+pub(crate) const MEMBERS: &str = "lycheehaven-entries";
+
+/// Version of the message format.
+const FORMAT: u8 = 1;
+
+/// Interval between messages, in milliseconds.
+const INTERVAL_MS: u64 = 200;
+
+/// Most peers that one round is sent to.
+const FAN_OUT: usize = 12;
+
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 60 * 1024;
+
+/// Leaving upstreams that one message names.
+const MAX_LEAVING: usize = 64;
+
+/// Silence after which a peer no longer counts as heard.
+pub(crate) const HEARD: Duration = Duration::from_millis(1500);
+
+/// What an entry writes into the store about itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    /// Address for datagrams.
+    pub(crate) addr: SocketAddr,
+    /// Failure domain.
+    pub(crate) domain: Name,
+    /// This run of the process.
+    pub(crate) incarnation: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    member: Member,
+    heard: Option<Instant>,
+    first: Option<Instant>,
+}
+
+/// The entries that are registered in the store.
+#[derive(Debug, Default)]
+pub(crate) struct Members {
+    known: HashMap<Name, Known>,
+}
+
+impl Members {
+    /// Takes over the full list.
+    pub(crate) fn replace(&mut self, objects: &[Object]) {
+        self.known
+            .retain(|name, _| objects.iter().any(|object| object.name == **name));
+        for object in objects {
+            self.update(object, false);
+        }
+    }
+
+    /// Takes over one entry.
+    pub(crate) fn update(&mut self, object: &Object, deleted: bool) {
+        let name: Name = object.name.as_str().into();
+        if deleted {
+            self.known.remove(&name);
+            return;
+        }
+        let Ok(member) = Member::deserialize(&object.spec) else {
+            log::warn!(target: "lycheehaven", entry = object.name.as_str(); "an entry of a peer can't be decoded");
+            return;
+        };
+        let earlier = self.known.remove(&name);
+        let known = match earlier {
+            Some(known) if known.member.incarnation == member.incarnation => {
+                Known { member, ..known }
+            }
+            _ => Known {
+                member,
+                heard: None,
+                first: None,
+            },
+        };
+        self.known.insert(name, known);
+    }
+
+    /// Names of all members and of `me`.
+    pub(crate) fn names(&self, me: &Name) -> Vec<Name> {
+        let mut names: Vec<Name> = self.known.keys().cloned().collect();
+        if !names.contains(me) {
+            names.push(me.clone());
+        }
+        names
+    }
+
+    /// Number of members, at least 1.
+    pub(crate) fn count(&self) -> usize {
+        self.known.len().max(1)
+    }
+
+    /// Whether `me` is registered as this run.
+    pub(crate) fn is_registered(&self, me: &Name, incarnation: u64) -> bool {
+        self.known
+            .get(me)
+            .is_some_and(|known| known.member.incarnation == incarnation)
+    }
+
+    /// Notes that a member was heard.
+    pub(crate) fn hear(&mut self, name: &Name, now: Instant) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.heard = Some(now);
+        }
+    }
+
+    /// Members other than `me` that were not heard for `silence`.
+    pub(crate) fn silent(&mut self, me: &Name, silence: Duration, now: Instant) -> Vec<Name> {
+        let mut silent = Vec::new();
+        for (name, known) in &mut self.known {
+            let first = *known.first.get_or_insert(now);
+            let last = known.heard.unwrap_or(first);
+            if name != me && now.saturating_duration_since(last) >= silence {
+                silent.push(name.clone());
+            }
+        }
+        silent
+    }
+
+    /// Number of members other than `me` that were heard lately.
+    pub(crate) fn heard(&self, me: &Name, now: Instant) -> usize {
+        self.known
+            .iter()
+            .filter(|(name, known)| {
+                *name != me
+                    && known
+                        .heard
+                        .is_some_and(|heard| now.saturating_duration_since(heard) < HEARD)
+            })
+            .count()
+    }
+
+    fn addresses(&self, me: &Name) -> Vec<SocketAddr> {
+        self.known
+            .iter()
+            .filter(|(name, _)| *name != me)
+            .map(|(_, known)| known.member.addr)
+            .collect()
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Message {
+    format: u8,
+    from: Name,
+    incarnation: u64,
+    wall_ms: i64,
+    spent: Vec<(Name, f64)>,
+    begun: Vec<Counts>,
+    loads: Vec<(UpstreamKey, u32, u64)>,
+    leaving: Vec<UpstreamKey>,
+    crashes: Vec<(Digest, UpstreamKey)>,
+    holds_lease: bool,
+}
+
+/// Registers this entry in the store, again whenever its object is missing.
+pub(crate) async fn register(node: Rc<Node>) {
+    let me = &node.settings.name;
+    let member = Member {
+        addr: node.settings.peer_listen,
+        domain: node.settings.domain.clone(),
+        incarnation: node.incarnation,
+    };
+    loop {
+        if node.members.borrow().is_registered(me, node.incarnation) {
+            pause(1000).await;
+            continue;
+        }
+        let created = node.store.create(MEMBERS, me, &member).await;
+        let result = match created {
+            Ok(crate::store::Written::Conflict) => {
+                node.store.replace(MEMBERS, me, None, &member).await
+            }
+            other => other,
+        };
+        match result {
+            Ok(_) => pause(1000).await,
+            Err(cause) => {
+                let cause = cause.to_string();
+                log::warn!(target: "lycheehaven", cause = cause.as_str(); "can't register with the store; retrying");
+                pause(300).await;
+            }
+        }
+    }
+}
+
+/// Sends this entry's counts to peers at intervals.
+pub(crate) async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        let mut peers = node.members.borrow().addresses(&node.settings.name);
+        if peers.len() > FAN_OUT {
+            for index in 0..FAN_OUT {
+                let other = rand::random_range(index..peers.len());
+                peers.swap(index, other);
+            }
+            peers.truncate(FAN_OUT);
+        }
+        if !peers.is_empty() {
+            let bytes = encode(&node);
+            for peer in peers {
+                let sent = socket.send_to(bytes.clone(), peer).await;
+                if let Err(cause) = sent.0 {
+                    log::debug!(target: "lycheehaven", peer = peer.to_string().as_str(), cause = cause.to_string().as_str(); "a peer can't be told");
+                }
+            }
+        }
+        pause(INTERVAL_MS).await;
+    }
+}
+
+/// Takes over what peers send.
+pub(crate) async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = Vec::with_capacity(MAX_DATAGRAM);
+    loop {
+        buffer.clear();
+        let result = socket.recv_from(buffer).await;
+        buffer = result.1;
+        match result.0 {
+            Ok(_) => match rmp_serde::from_slice::<Message>(&buffer) {
+                Ok(message) if message.format == FORMAT => adopt(&node, message),
+                Ok(_) => {}
+                Err(cause) => {
+                    let cause = cause.to_string();
+                    log::warn!(target: "lycheehaven", cause = cause.as_str(); "a peer's message can't be decoded");
+                }
+            },
+            Err(cause) => {
+                let cause = cause.to_string();
+                log::debug!(target: "lycheehaven", cause = cause.as_str(); "receiving from peers failed");
+                pause(20).await;
+            }
+        }
+    }
+}
+
+fn encode(node: &Node) -> Vec<u8> {
+    let now = node.now();
+    let wall_ms = node
+        .clock
+        .wall()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as i64);
+    let loads = node.book.borrow().report();
+    let message = Message {
+        format: FORMAT,
+        from: node.settings.name.clone(),
+        incarnation: node.incarnation,
+        wall_ms,
+        spent: node.allotments.borrow_mut().report(now),
+        begun: node.usage.borrow().report(),
+        loads: loads
+            .into_iter()
+            .map(|load| (load.upstream, load.requests, load.unread))
+            .collect(),
+        leaving: node
+            .directory
+            .borrow()
+            .leaving()
+            .take(MAX_LEAVING)
+            .cloned()
+            .collect(),
+        crashes: node.suspects.borrow().report(),
+        holds_lease: node.holds_lease.get(),
+    };
+    rmp_serde::to_vec(&message).expect("messages serialize to MessagePack")
+}
+
+fn adopt(node: &Rc<Node>, message: Message) {
+    let now = node.now();
+    let from = &message.from;
+    if *from == node.settings.name {
+        return;
+    }
+    node.members.borrow_mut().hear(from, now);
+    node.wall
+        .borrow_mut()
+        .hear(from, message.wall_ms, node.clock.wall(), now);
+    node.allotments
+        .borrow_mut()
+        .hear(from, message.incarnation, &message.spent, now);
+    node.usage
+        .borrow_mut()
+        .hear(from, message.incarnation, message.begun);
+    let loads = message
+        .loads
+        .into_iter()
+        .map(|(upstream, requests, unread)| LoadReport {
+            upstream,
+            requests,
+            unread,
+        })
+        .collect();
+    node.book.borrow_mut().hear(from, loads, now);
+    for key in &message.leaving {
+        node.upstream_leaves(key, from);
+    }
+    for (digest, upstream) in &message.crashes {
+        node.suspects.borrow_mut().accuse(*digest, upstream, now);
+    }
+    if message.holds_lease {
+        node.holder_heard.set(Some(now));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lease.rs
@@ -0,0 +1,128 @@
+//! The loop that keeps or waits for the lease.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lycheehaven_adapter::store::Object;
+use lycheehaven_placement::Lease;
+use lycheehaven_placement::LeaseAction;
+use lycheehaven_placement::LeaseEvent;
+use lycheehaven_placement::LeaseKeeper;
+use serde::Deserialize;
+
+use crate::node::Node;
+use crate::node::pause;
+use crate::store::StoreError;
+use crate::store::Written;
+
+/// Kind and name of the lease in the store.
+const LEASE: (&str, &str) = ("lycheehaven-leases", "duties");
+
+/// Interval between renewals, in milliseconds.
+const RENEW_MS: u64 = 800;
+
+/// Silence of the holder after which the lease is looked at.
+const HOLDER_SILENT: Duration = Duration::from_millis(1200);
+
+/// The lease, shared with the duties.
+pub(crate) struct LeaseHandle {
+    node: Rc<Node>,
+    keeper: RefCell<LeaseKeeper>,
+}
+
+impl LeaseHandle {
+    pub(crate) fn new(node: &Rc<Node>) -> Rc<Self> {
+        let me = format!("{}/{}", node.settings.name, node.incarnation);
+        let length = Duration::from_millis(node.settings.bounds.lease_ms + LEASE_MARGIN_MS);
+        Rc::new(Self {
+            node: node.clone(),
+            keeper: RefCell::new(LeaseKeeper::new(me.into(), length)),
+        })
+    }
+
+    /// The fencing number, while the lease may be relied on.
+    pub(crate) fn fence(&self) -> Option<u64> {
+        self.keeper.borrow().fence(self.node.now())
+    }
+
+    /// Keeps the lease or waits for it, until the process ends.
+    pub(crate) async fn run(self: Rc<Self>) {
+        loop {
+            if self.should_look() {
+                self.look().await;
+            }
+            let fence = self.fence();
+            if self.node.holds_lease.replace(fence.is_some()) != fence.is_some() {
+                log::info!(target: "lycheehaven", held = fence.is_some(), fence = fence.unwrap_or(0); "lease changed");
+            }
+            pause(RENEW_MS).await;
+        }
+    }
+
+    /// Whether this entry holds the lease or nobody seems to.
+    fn should_look(&self) -> bool {
+        if self.node.stopping.get() {
+            return false;
+        }
+        let now = self.node.now();
+        let heard = self
+            .node
+            .holder_heard
+            .get()
+            .is_some_and(|heard| now.saturating_duration_since(heard) < HOLDER_SILENT);
+        self.node.holds_lease.get() || !heard
+    }
+
+    async fn look(&self) {
+        let read = self.node.store.read(LEASE.0, LEASE.1).await;
+        let event = match read {
+            Ok(object) => match object.map(decode).transpose() {
+                Ok(loaded) => LeaseEvent::Loaded(loaded),
+                Err(cause) => {
+                    log::error!(target: "lycheehaven", cause = cause.as_str(); "the lease can't be decoded");
+                    return;
+                }
+            },
+            Err(cause) => {
+                self.log_failure(&cause);
+                LeaseEvent::NoAnswer
+            }
+        };
+        let action = self.keeper.borrow_mut().handle(event, self.node.now());
+        if let Some(LeaseAction::Write(revision, lease)) = action {
+            let event = self.write(revision, &lease).await;
+            self.keeper.borrow_mut().handle(event, self.node.now());
+        }
+    }
+
+    async fn write(&self, revision: Option<u64>, lease: &Lease) -> LeaseEvent {
+        let store = &self.node.store;
+        let result = match revision {
+            None => store.create(LEASE.0, LEASE.1, lease).await,
+            Some(_) => store.replace(LEASE.0, LEASE.1, revision, lease).await,
+        };
+        match result {
+            Ok(Written::Done(revision)) => LeaseEvent::Written(revision),
+            Ok(Written::Conflict) => LeaseEvent::Conflict,
+            Err(cause) => {
+                self.log_failure(&cause);
+                LeaseEvent::NoAnswer
+            }
+        }
+    }
+
+    fn log_failure(&self, cause: &StoreError) {
+        let cause = cause.to_string();
+        log::info!(target: "lycheehaven", cause = cause.as_str(); "the lease can't be read or written");
+    }
+}
+
+/// Time by which the lease is longer than the span in which holders must not
+/// alternate.
+const LEASE_MARGIN_MS: u64 = 300;
+
+fn decode(object: Object) -> Result<(u64, Lease), String> {
+    let lease = Lease::deserialize(&object.spec).map_err(|cause| cause.to_string())?;
+    Ok((object.revision, lease))
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and histograms, served as text.
+
+use std::time::Duration;
+
+use lycheehaven_types::ErrorKind;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StatusLabel {
+    status: u16,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+/// All metrics of an entry.
+pub(crate) struct Metrics {
+    registry: Registry,
+    answers: Family<StatusLabel, Counter>,
+    failures: Family<KindLabel, Counter>,
+    latency: Histogram,
+    pub(crate) sends: Counter,
+    pub(crate) connections: Counter,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let metrics = Self {
+            registry: Registry::with_prefix("lycheehaven"),
+            answers: Family::default(),
+            failures: Family::default(),
+            latency: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
+            sends: Counter::default(),
+            connections: Counter::default(),
+        };
+        metrics.registered()
+    }
+
+    fn registered(mut self) -> Self {
+        let registry = &mut self.registry;
+        registry.register("answers", "Answers to callers by status", self.answers.clone());
+        registry.register("failures", "Failures of the system's own by kind", self.failures.clone());
+        registry.register(
+            "answer_seconds",
+            "Time until an answer's head",
+            self.latency.clone(),
+        );
+        registry.register("sends", "Requests sent to upstreams", self.sends.clone());
+        registry.register(
+            "connections",
+            "Connections opened to upstreams",
+            self.connections.clone(),
+        );
+        self
+    }
+
+    /// Counts an answer to a caller.
+    pub(crate) fn answer(&self, status: u16, after: Duration) {
+        self.answers.get_or_create(&StatusLabel { status }).inc();
+        self.latency.observe(after.as_secs_f64());
+    }
+
+    /// Counts a failure of the system's own.
+    pub(crate) fn failure(&self, kind: ErrorKind) {
+        let label = KindLabel { kind: kind.name() };
+        self.failures.get_or_create(&label).inc();
+    }
+
+    /// All metrics in the text format.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(cause) = encode(&mut text, &self.registry) {
+            log::error!(target: "lycheehaven", cause = cause.to_string().as_str(); "metrics can't be encoded");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,175 @@
+//! State of an entry that its loops and requests share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_catalog::Belief;
+use lycheehaven_catalog::Directory;
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_channels::Pool;
+use lycheehaven_dispatch::LoadBook;
+use lycheehaven_dispatch::Policy;
+use lycheehaven_duties::Usage;
+use lycheehaven_duties::WallAgreement;
+use lycheehaven_guard::Allotments;
+use lycheehaven_guard::BudgetTerms;
+use lycheehaven_guard::RetryBudget;
+use lycheehaven_guard::Suspects;
+use lycheehaven_types::Clock;
+use lycheehaven_types::Name;
+use tokio_util::sync::CancellationToken;
+
+use crate::exchange::Members;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::store::Store;
+
+/// Everything that an entry knows.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) incarnation: u64,
+    pub(crate) store: Store,
+    pub(crate) belief: RefCell<Belief>,
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) members: RefCell<Members>,
+    pub(crate) book: RefCell<LoadBook>,
+    pub(crate) pool: RefCell<Pool>,
+    pub(crate) allotments: RefCell<Allotments>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) suspects: RefCell<Suspects>,
+    pub(crate) usage: RefCell<Usage>,
+    pub(crate) wall: RefCell<WallAgreement>,
+    pub(crate) metrics: Metrics,
+    pub(crate) policy: Policy,
+    /// Whether this entry holds the lease.
+    pub(crate) holds_lease: Cell<bool>,
+    /// When a peer last said that it holds the lease.
+    pub(crate) holder_heard: Cell<Option<Instant>>,
+    /// Requests whose answers are not complete.
+    pub(crate) open: Cell<usize>,
+    /// Whether the entry is stopping and takes no new callers.
+    pub(crate) stopping: Cell<bool>,
+    /// Cancelled when the entry is told to stop.
+    pub(crate) stop_asked: CancellationToken,
+    /// Cancelled when the servers must end.
+    pub(crate) stop: CancellationToken,
+}
+
+impl Node {
+    pub(crate) fn new(settings: Settings, clock: Rc<dyn Clock>) -> Rc<Self> {
+        let bounds = &settings.bounds;
+        let budget = RetryBudget::new(BudgetTerms {
+            window: Duration::from_secs_f64(bounds.budget_window_s),
+            ratio: bounds.budget_ratio,
+            slack: bounds.budget_slack,
+        });
+        let allotments = Allotments::new(Duration::from_secs_f64(bounds.quota_window_s));
+        let usage = Usage::new(Duration::from_secs_f64(bounds.window_s));
+        Rc::new(Self {
+            incarnation: rand::random(),
+            store: Store::new(settings.store.address),
+            belief: RefCell::default(),
+            directory: RefCell::default(),
+            members: RefCell::default(),
+            book: RefCell::default(),
+            pool: RefCell::default(),
+            allotments: RefCell::new(allotments),
+            budget: RefCell::new(budget),
+            suspects: RefCell::default(),
+            usage: RefCell::new(usage),
+            wall: RefCell::default(),
+            metrics: Metrics::new(),
+            policy: Policy::default(),
+            holds_lease: Cell::new(false),
+            holder_heard: Cell::new(None),
+            open: Cell::new(0),
+            stopping: Cell::new(false),
+            stop_asked: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            settings,
+            clock,
+        })
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Whether the configuration is known and may be relied on.
+    pub(crate) fn is_current(&self, now: Instant) -> bool {
+        let belief = self.belief.borrow();
+        match self.settings.bounds.stale_after() {
+            Some(bound) => belief.fresh(now, bound),
+            None => belief.catalog().is_some(),
+        }
+    }
+
+    /// Whether the balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.is_current(self.now())
+    }
+
+    /// Milliseconds since the Unix epoch, as the entries agree.
+    pub(crate) fn wall_millis(&self) -> i64 {
+        self.wall.borrow().millis(self.clock.wall(), self.now())
+    }
+
+    /// Entries that share limits and budgets, this one included.
+    pub(crate) fn member_names(&self) -> Vec<Name> {
+        self.members.borrow().names(&self.settings.name)
+    }
+
+    /// Notes that an upstream leaves.
+    pub(crate) fn upstream_leaves(&self, key: &UpstreamKey, source: &str) {
+        if self.directory.borrow_mut().leave(key, self.now()) {
+            log::info!(
+                target: "lycheehaven",
+                upstream = &*key.id, born = key.born, source = source;
+                "upstream is leaving; it gets no new requests"
+            );
+        }
+    }
+
+    /// Notes that an upstream can't be reached or is gone.
+    pub(crate) fn upstream_down(&self, key: &UpstreamKey, cause: &str) {
+        let now = self.now();
+        let accused = self.suspects.borrow_mut().crashed(key, now);
+        if !accused.is_empty() {
+            log::warn!(
+                target: "lycheehaven",
+                upstream = &*key.id, cause = cause, requests = accused.len();
+                "upstream went down while it ran requests"
+            );
+        }
+    }
+}
+
+/// Counts a request until its answer is complete.
+pub(crate) struct OpenRequest(Rc<Node>);
+
+impl OpenRequest {
+    pub(crate) fn new(node: &Rc<Node>) -> Self {
+        node.open.set(node.open.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Starts a task that ends with the process.
+pub(crate) fn spawn(task: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(task).detach();
+}
+
+/// Waits, unless the entry ends before.
+pub(crate) async fn pause(millis: u64) {
+    compio::time::sleep(Duration::from_millis(millis)).await;
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,241 @@
+//! Passes the events of a stream on, across a change of upstream.
+
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::stream::unfold;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use lycheehaven_adapter::upstream::AnswerHead;
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_channels::Channel;
+use lycheehaven_net::Body;
+
+use crate::attempt;
+use crate::attempt::Answered;
+use crate::attempt::Job;
+use crate::attempt::Outcome;
+use crate::attempt::Resume;
+use crate::attempt::Ticket;
+use crate::events::EventSplitter;
+use crate::node::Node;
+use crate::node::OpenRequest;
+use crate::serve;
+
+/// Longest pause in a resumable stream before it goes on at another upstream.
+const STALL: Duration = Duration::from_millis(1500);
+
+/// The run that the events come from.
+struct Run {
+    key: UpstreamKey,
+    body: Incoming,
+    head: AnswerHead,
+    channel: Channel,
+    ticket: Ticket,
+}
+
+struct Relay {
+    node: Rc<Node>,
+    job: Rc<Job>,
+    run: Option<Run>,
+    splitter: EventSplitter,
+    ready: VecDeque<Bytes>,
+    last_event: Option<u64>,
+    tried: Vec<UpstreamKey>,
+    arrivals: u32,
+    _open: OpenRequest,
+}
+
+/// What came from the upstream.
+enum Input {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+}
+
+/// Starts to relay a stream once its first event is in.
+///
+/// # Errors
+/// Why there was no event; the request has run.
+pub(crate) async fn start(
+    node: &Rc<Node>,
+    job: &Rc<Job>,
+    answered: Answered,
+    arrivals: u32,
+) -> Result<Response<Body>, String> {
+    let Answered {
+        upstream,
+        response,
+        head,
+        channel,
+        ticket,
+    } = answered;
+    let (parts, body) = response.into_parts();
+    let mut relay = Relay {
+        node: node.clone(),
+        job: job.clone(),
+        tried: vec![upstream.key.clone()],
+        run: Some(Run {
+            key: upstream.key,
+            body,
+            head,
+            channel,
+            ticket,
+        }),
+        splitter: EventSplitter::default(),
+        ready: VecDeque::new(),
+        last_event: job.head.last_event,
+        arrivals,
+        _open: OpenRequest::new(node),
+    };
+    relay.fill().await?;
+    let stream = unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+            Ok(None) => None,
+            Err(cause) => Some((Err(io::Error::other(cause)), None)),
+        }
+    });
+    let body = Body::Chunks(Box::pin(stream));
+    Ok(serve::answer(parts.status, &parts.headers, body))
+}
+
+impl Relay {
+    /// The next bytes for the caller; `None` at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, String> {
+        if self.ready.is_empty() {
+            self.fill().await?;
+        }
+        Ok(self.join_ready())
+    }
+
+    /// Joins events that came together, to write them at once.
+    fn join_ready(&mut self) -> Option<Bytes> {
+        if self.ready.len() <= 1 {
+            return self.ready.pop_front();
+        }
+        let joined: Vec<u8> = self.ready.drain(..).flatten().collect();
+        Some(joined.into())
+    }
+
+    /// Reads until an event is whole or the stream ends.
+    async fn fill(&mut self) -> Result<(), String> {
+        while self.ready.is_empty() && self.run.is_some() {
+            match self.read().await {
+                Input::Bytes(bytes) => self.take(&bytes),
+                Input::End => self.finish(),
+                Input::Broken(cause) => self.go_on(cause).await?,
+            }
+        }
+        Ok(())
+    }
+
+    async fn read(&mut self) -> Input {
+        let now = self.node.now();
+        let left = self.job.left(now);
+        if left.is_zero() {
+            return Input::Broken("the time is up".into());
+        }
+        let stall = if self.may_resume() { left.min(STALL) } else { left };
+        let Some(run) = &mut self.run else {
+            return Input::End;
+        };
+        match compio::time::timeout(stall, run.body.frame()).await {
+            Err(_) => Input::Broken("the stream paused too long".into()),
+            Ok(None) => Input::End,
+            Ok(Some(Err(cause))) => Input::Broken(cause.to_string()),
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(bytes) => Input::Bytes(bytes),
+                Err(_) => Input::Bytes(Bytes::new()),
+            },
+        }
+    }
+
+    fn take(&mut self, bytes: &[u8]) {
+        for event in self.splitter.push(bytes) {
+            if event.id.is_some() {
+                self.last_event = event.id;
+            }
+            self.ready.push_back(event.bytes);
+        }
+    }
+
+    fn finish(&mut self) {
+        if !self.splitter.is_empty() {
+            self.ready.push_back(self.splitter.rest());
+        }
+        if let Some(run) = self.run.take() {
+            drop(run.ticket);
+            attempt::recycle(&self.node, &run.key, &run.head, run.channel);
+        }
+    }
+
+    fn may_resume(&self) -> bool {
+        self.job.route.resumable && self.arrivals < self.job.route.attempts
+    }
+
+    /// Continues a broken stream at another upstream.
+    async fn go_on(&mut self, cause: String) -> Result<(), String> {
+        let now = self.node.now();
+        if let Some(run) = self.run.take() {
+            self.node
+                .suspects
+                .borrow_mut()
+                .broke(self.job.digest, &run.key, now);
+        }
+        self.splitter.rest();
+        let result = self.resume(&cause).await;
+        log::info!(
+            target: "lycheehaven",
+            request = self.job.id(),
+            route = &*self.job.route.name,
+            last_event = self.last_event.unwrap_or(0),
+            cause = cause.as_str(),
+            resumed = result.is_ok();
+            "the stream broke off"
+        );
+        result
+    }
+
+    async fn resume(&mut self, cause: &str) -> Result<(), String> {
+        while self.may_resume() && self.job.left(self.node.now()) > Duration::ZERO {
+            let now = self.node.now();
+            let target = serve::pick(&self.node, &self.job, &self.tried, now)
+                .map_err(|(_, message)| message.to_owned())?;
+            let members = self.node.members.borrow().count();
+            let service = &self.job.service;
+            if !self.node.budget.borrow_mut().take(service, members, now) {
+                return Err(format!("{cause}; the retry budget is used up"));
+            }
+            self.tried.push(target.key.clone());
+            self.arrivals += 1;
+            let resume = Resume {
+                last_event: self.last_event,
+                memory: None,
+            };
+            let outcome =
+                attempt::send(&self.node, &self.job, &target, &resume, self.job.until).await;
+            let Outcome::Answered(answered) = outcome else {
+                continue;
+            };
+            if !answered.response.status().is_success() {
+                continue;
+            }
+            answered.ticket.answered();
+            self.run = Some(Run {
+                key: answered.upstream.key,
+                body: answered.response.into_body(),
+                head: answered.head,
+                channel: answered.channel,
+                ticket: answered.ticket,
+            });
+            return Ok(());
+        }
+        Err(cause.to_owned())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,295 @@
+//! Sends a request to upstreams until one answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Response;
+use hyper::StatusCode;
+use lycheehaven_adapter::caller;
+use lycheehaven_catalog::RouteKind;
+use lycheehaven_catalog::Upstream;
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_dispatch::Ask;
+use lycheehaven_dispatch::choose;
+use lycheehaven_net::Body;
+use lycheehaven_net::read_body;
+use lycheehaven_types::ErrorKind;
+use lycheehaven_types::Failure;
+
+use crate::attempt;
+use crate::attempt::Answered;
+use crate::attempt::Job;
+use crate::attempt::Outcome;
+use crate::attempt::Resume;
+use crate::node::Node;
+use crate::relay;
+
+/// Largest answer that is read whole before it goes on to the caller.
+const MAX_ANSWER: usize = 4 * 1024 * 1024;
+
+/// Upstreams that are tried for one request while none has received it.
+const MAX_UNREACHABLE: usize = 4;
+
+/// Waiting requests for each slot up to which an upstream is given more.
+const QUEUE_PART: f64 = 1.0;
+
+/// Time after which a request that may be repeated is given up at one upstream,
+/// as a multiple of the route's target.
+const PATIENCE: u32 = 4;
+
+/// Time after which callers are asked to come back when all upstreams are full.
+const FULL_RETRY: Duration = Duration::from_millis(700);
+
+/// Upstreams that were tried, and what is left to do.
+#[derive(Debug, Default)]
+struct Tries {
+    tried: Vec<UpstreamKey>,
+    arrivals: u32,
+    unreachable: usize,
+    lost: Option<String>,
+}
+
+/// Answers `job`.
+pub(crate) async fn serve(node: &Rc<Node>, job: Rc<Job>) -> Result<Response<Body>, Failure> {
+    let mut tries = Tries::default();
+    loop {
+        let target = next_upstream(node, &job, &mut tries)?;
+        tries.tried.push(target.key.clone());
+        let until = patience(node, &job, &tries);
+        let outcome = attempt::send(node, &job, &target, &Resume::default(), until).await;
+        log_attempt(&job, &target, &tries, &outcome);
+        match outcome {
+            Outcome::Answered(answered) => {
+                tries.arrivals += 1;
+                match take_answer(node, &job, *answered, &tries).await {
+                    Ok(response) => return Ok(response),
+                    Err(cause) => tries.lost = Some(cause),
+                }
+            }
+            Outcome::Unreachable(_) => tries.unreachable += 1,
+            Outcome::Refused(_) => tries.arrivals += 1,
+            Outcome::Lost(cause) => {
+                tries.arrivals += 1;
+                let mut book = node.book.borrow_mut();
+                book.outcome(&target.key, false, None);
+                tries.lost = Some(cause);
+            }
+        }
+    }
+}
+
+/// The upstream for the next sending, or why there is none.
+fn next_upstream(node: &Node, job: &Job, tries: &mut Tries) -> Result<Upstream, Failure> {
+    let now = node.now();
+    if now >= job.until {
+        return Err(give_up(job, tries, ErrorKind::DeadlineBefore, "the time is up"));
+    }
+    let may_repeat = tries.lost.is_none() || job.route.repeatable();
+    if !may_repeat || tries.arrivals >= job.route.attempts {
+        return Err(give_up(job, tries, ErrorKind::Overloaded, "no further upstream may be tried"));
+    }
+    if tries.unreachable >= MAX_UNREACHABLE {
+        return Err(give_up(job, tries, ErrorKind::NoUpstream, "no upstream can be reached"));
+    }
+    let target = pick(node, job, &tries.tried, now).map_err(|(kind, message)| give_up(job, tries, kind, message))?;
+    if tries.arrivals > 0 {
+        let members = node.members.borrow().count();
+        if !node.budget.borrow_mut().take(&job.service, members, now) {
+            return Err(give_up(job, tries, ErrorKind::Overloaded, "the retry budget is used up"));
+        }
+    }
+    Ok(target)
+}
+
+/// The failure for a request that no further upstream may get.
+fn give_up(job: &Job, tries: &Tries, kind: ErrorKind, message: &str) -> Failure {
+    match &tries.lost {
+        None => {
+            let failure = Failure::new(kind, message);
+            match kind {
+                ErrorKind::Overloaded | ErrorKind::NoUpstream => failure.retry_after(FULL_RETRY),
+                _ => failure,
+            }
+        }
+        Some(cause) if job.until <= job.received => {
+            Failure::new(ErrorKind::DeadlineWithin, cause.clone())
+        }
+        Some(cause) => Failure::new(ErrorKind::UpstreamLost, cause.clone()),
+    }
+}
+
+/// Chooses an upstream that was not tried.
+pub(crate) fn pick(
+    node: &Node,
+    job: &Job,
+    tried: &[UpstreamKey],
+    now: Instant,
+) -> Result<Upstream, (ErrorKind, &'static str)> {
+    let directory = node.directory.borrow();
+    let book = node.book.borrow();
+    let mut pool = node.pool.borrow_mut();
+    let members = node.members.borrow().count();
+    let connections = node
+        .belief
+        .borrow()
+        .catalog()
+        .and_then(|catalog| catalog.services.get(&job.service).map(|service| service.connections))
+        .unwrap_or(usize::MAX);
+    let share = (connections / members.max(1)).max(1);
+    let ask = Ask {
+        prompt: &job.head.prompt,
+        domain: &node.settings.domain,
+        draw: rand::random(),
+    };
+    let candidates: Vec<&Upstream> = directory
+        .ready(&job.service)
+        .filter(|upstream| !tried.contains(&upstream.key))
+        .collect();
+    if candidates.is_empty() {
+        return Err((ErrorKind::NoUpstream, "no upstream of the service is ready"));
+    }
+    let open = candidates
+        .iter()
+        .copied()
+        .filter(|upstream| pool.open(&upstream.key).get() < share);
+    let choice = choose(open, &ask, &book, &node.policy, now)
+        .ok_or((ErrorKind::NoUpstream, "all upstreams of the service failed lately"))?;
+    let slots = f64::from(choice.upstream.slots.max(1));
+    if f64::from(choice.requests) >= slots * (1.0 + QUEUE_PART) {
+        return Err((ErrorKind::Overloaded, "all upstreams of the service are full"));
+    }
+    Ok(choice.upstream.clone())
+}
+
+/// When to give a sending up: early only if another upstream may be tried.
+fn patience(node: &Node, job: &Job, tries: &Tries) -> Instant {
+    let may_repeat = job.route.repeatable() && tries.arrivals + 1 < job.route.attempts;
+    if !may_repeat {
+        return job.until;
+    }
+    let patience = job.route.target * PATIENCE;
+    (node.now() + patience).min(job.until)
+}
+
+/// Turns an upstream's answer into the caller's.
+///
+/// # Errors
+/// Why the answer can't be used; the request has run.
+async fn take_answer(
+    node: &Rc<Node>,
+    job: &Rc<Job>,
+    answered: Answered,
+    tries: &Tries,
+) -> Result<Response<Body>, String> {
+    let status = answered.response.status();
+    let waited = node.now().saturating_duration_since(job.received);
+    let healthy = !status.is_server_error();
+    note_outcome(node, job, &answered, healthy, waited);
+    count_begun(node, job);
+    if status.is_server_error() && may_try_again(node, job, tries) {
+        return Err(format!("the upstream answered {status}"));
+    }
+    if job.route.kind == RouteKind::Streaming && status.is_success() {
+        return relay::start(node, job, answered, tries.arrivals).await;
+    }
+    collect(node, job, answered).await
+}
+
+fn may_try_again(node: &Node, job: &Job, tries: &Tries) -> bool {
+    let now = node.now();
+    job.route.repeatable()
+        && tries.arrivals < job.route.attempts
+        && job.left(now) > job.route.target / 2
+        && pick(node, job, &tries.tried, now).is_ok()
+        && node
+            .budget
+            .borrow_mut()
+            .has_left(&job.service, node.members.borrow().count(), now)
+}
+
+/// Reads the whole answer before any of it goes on, so that a broken one can
+/// be asked for again.
+async fn collect(
+    node: &Rc<Node>,
+    job: &Job,
+    answered: Answered,
+) -> Result<Response<Body>, String> {
+    let Answered {
+        upstream,
+        response,
+        head,
+        channel,
+        ticket,
+    } = answered;
+    let (parts, body) = response.into_parts();
+    let wait = job.left(node.now());
+    let bytes = read_body(body, MAX_ANSWER, wait).await.map_err(|cause| {
+        let now = node.now();
+        node.suspects
+            .borrow_mut()
+            .broke(job.digest, &upstream.key, now);
+        cause.message
+    })?;
+    drop(ticket);
+    attempt::recycle(node, &upstream.key, &head, channel);
+    Ok(answer(parts.status, &parts.headers, Body::full(bytes)))
+}
+
+/// An answer with the upstream's status and headers.
+pub(crate) fn answer(
+    status: StatusCode,
+    headers: &hyper::HeaderMap,
+    body: Body,
+) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = caller::answer_headers(headers);
+    response
+}
+
+fn note_outcome(node: &Node, job: &Job, answered: &Answered, healthy: bool, waited: Duration) {
+    answered.ticket.answered();
+    let now = node.now();
+    let mut book = node.book.borrow_mut();
+    let excess = waited.saturating_sub(job.route.target);
+    book.outcome(&answered.upstream.key, healthy, Some(excess));
+    for part in &job.head.prompt {
+        book.cached(&answered.upstream.key, &part.id, now);
+    }
+}
+
+/// Counts a request that an upstream has begun to run.
+fn count_begun(node: &Node, job: &Job) {
+    if let Some(workspace) = &job.workspace {
+        let millis = node.wall_millis();
+        node.usage.borrow_mut().count(workspace, millis);
+    }
+}
+
+fn log_attempt(job: &Job, target: &Upstream, tries: &Tries, outcome: &Outcome) {
+    let (result, cause) = match outcome {
+        Outcome::Answered(answered) => {
+            let status = answered.response.status();
+            log::debug!(
+                target: "lycheehaven",
+                request = job.id(), upstream = &*target.key.id, status = status.as_u16();
+                "the upstream answered"
+            );
+            return;
+        }
+        Outcome::Unreachable(cause) => ("unreachable", cause.clone()),
+        Outcome::Refused(status) => ("refused", status.to_string()),
+        Outcome::Lost(cause) => ("lost", cause.clone()),
+    };
+    log::info!(
+        target: "lycheehaven",
+        request = job.id(),
+        route = &*job.route.name,
+        upstream = &*target.key.id,
+        attempt = tries.tried.len(),
+        outcome = result,
+        cause = cause.as_str();
+        "the upstream gave no answer"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,228 @@
+//! Loops that follow the platform's store.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_adapter::config;
+use lycheehaven_adapter::servers;
+use lycheehaven_adapter::store;
+use lycheehaven_adapter::store::Object;
+
+use crate::exchange::MEMBERS;
+use crate::node::Node;
+use crate::node::pause;
+use crate::store::StoreError;
+use crate::store::Watched;
+
+/// Time that a watch on the configuration waits. Its answer proves the
+/// configuration, so this is also about how old the proof gets.
+const CONFIG_WAIT: Duration = Duration::from_millis(1500);
+
+/// Time that a watch on upstreams waits: a connection that has fallen silent is
+/// noticed no later.
+const SERVERS_WAIT: Duration = Duration::from_millis(2000);
+
+/// Time that a watch on the other entries waits.
+const MEMBERS_WAIT: Duration = Duration::from_millis(6000);
+
+/// Pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 150;
+
+/// Time after the store's return within which lapsed entries are written again.
+const LAPSE_GRACE: Duration = Duration::from_millis(2400);
+
+/// Time for which entries are kept after a failed call, renewed by the next.
+const OUTAGE_HOLD: Duration = Duration::from_secs(10);
+
+/// Part of the store that a loop follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Topic {
+    Config,
+    Servers,
+    Members,
+}
+
+impl Topic {
+    fn kind(self) -> &'static str {
+        match self {
+            Self::Config => store::CONFIG.0,
+            Self::Servers => store::SERVERS,
+            Self::Members => MEMBERS,
+        }
+    }
+
+    fn wait(self) -> Duration {
+        match self {
+            Self::Config => CONFIG_WAIT,
+            Self::Servers => SERVERS_WAIT,
+            Self::Members => MEMBERS_WAIT,
+        }
+    }
+}
+
+/// Follows the declared configuration.
+pub(crate) async fn follow_config(node: Rc<Node>) {
+    follow(node, Topic::Config).await;
+}
+
+/// Follows the upstreams' entries.
+pub(crate) async fn follow_servers(node: Rc<Node>) {
+    follow(node, Topic::Servers).await;
+}
+
+/// Follows the entries of the peers.
+pub(crate) async fn follow_members(node: Rc<Node>) {
+    follow(node, Topic::Members).await;
+}
+
+async fn follow(node: Rc<Node>, topic: Topic) {
+    let mut lost = Lost::default();
+    let mut revision = None;
+    loop {
+        let sent = node.now();
+        let result = match revision {
+            None => list(&node, topic).await.map(Some),
+            Some(from) => changes(&node, topic, from).await,
+        };
+        match result {
+            Ok(next) => {
+                lost.regained(&node, topic);
+                if topic == Topic::Config && next.is_some() {
+                    node.belief.borrow_mut().prove(sent);
+                }
+                revision = next;
+            }
+            Err(cause) => {
+                lost.failed(&node, topic, &cause);
+                pause(RETRY_MS).await;
+            }
+        }
+    }
+}
+
+/// Whether calls fail at present.
+#[derive(Debug, Default)]
+struct Lost {
+    since: Option<Instant>,
+}
+
+impl Lost {
+    fn failed(&mut self, node: &Node, topic: Topic, cause: &StoreError) {
+        if topic == Topic::Servers {
+            let until = node.now() + OUTAGE_HOLD;
+            node.directory.borrow_mut().hold_lapsed(until);
+        }
+        if self.since.is_none() {
+            self.since = Some(node.now());
+            let cause = cause.to_string();
+            log::warn!(
+                target: "lycheehaven",
+                kind = topic.kind(), cause = cause.as_str();
+                "the store can't be followed; retrying"
+            );
+        }
+    }
+
+    fn regained(&mut self, node: &Node, topic: Topic) {
+        let Some(since) = self.since.take() else {
+            return;
+        };
+        if topic == Topic::Servers {
+            let until = node.now() + LAPSE_GRACE;
+            node.directory.borrow_mut().hold_lapsed(until);
+        }
+        let away = node.now().saturating_duration_since(since);
+        log::info!(
+            target: "lycheehaven",
+            kind = topic.kind(), away_ms = away.as_millis() as u64;
+            "the store is followed again"
+        );
+    }
+}
+
+/// Reads the whole kind. Returns the revision to watch from.
+async fn list(node: &Rc<Node>, topic: Topic) -> Result<u64, StoreError> {
+    let (objects, revision) = node.store.list(topic.kind()).await?;
+    let now = node.now();
+    match topic {
+        Topic::Config => {
+            for object in &objects {
+                adopt_config(node, object);
+            }
+        }
+        Topic::Servers => {
+            let upstreams = objects.iter().filter_map(servers::read).collect();
+            let mut directory = node.directory.borrow_mut();
+            // A list is read after an outage or a lost history; either may
+            // come with entries that lapsed and will be back.
+            directory.hold_lapsed(now + LAPSE_GRACE);
+            directory.replace(upstreams, now);
+        }
+        Topic::Members => node.members.borrow_mut().replace(&objects),
+    }
+    Ok(revision)
+}
+
+/// Waits for changes. Returns the revision to go on from, or `None` if the
+/// kind must be listed again.
+async fn changes(node: &Rc<Node>, topic: Topic, from: u64) -> Result<Option<u64>, StoreError> {
+    let changes = match node.store.watch(topic.kind(), from, topic.wait()).await? {
+        Watched::Changes(changes) => changes,
+        Watched::HistoryGone => {
+            log::info!(target: "lycheehaven", kind = topic.kind(); "the store's history is gone; listing again");
+            return Ok(None);
+        }
+    };
+    let now = node.now();
+    for change in &changes.changes {
+        match topic {
+            Topic::Config => {
+                if !change.deleted {
+                    adopt_config(node, &change.object);
+                }
+            }
+            Topic::Servers => adopt_server(node, &change.object, change.deleted, now),
+            Topic::Members => node
+                .members
+                .borrow_mut()
+                .update(&change.object, change.deleted),
+        }
+    }
+    Ok(Some(changes.revision))
+}
+
+fn adopt_config(node: &Node, object: &Object) {
+    if object.name != store::CONFIG.1 {
+        return;
+    }
+    let catalog = match config::read(&object.spec) {
+        Ok(catalog) => catalog,
+        Err(cause) => {
+            log::error!(target: "lycheehaven", revision = object.revision, cause = cause.as_str(); "the configuration can't be decoded; keeping the present one");
+            return;
+        }
+    };
+    let version = catalog.version;
+    if node.belief.borrow_mut().adopt(catalog) {
+        log::info!(target: "lycheehaven", version = version, revision = object.revision; "configuration in force");
+    }
+}
+
+fn adopt_server(node: &Node, object: &Object, deleted: bool, now: Instant) {
+    let id = object.name.as_str().into();
+    if deleted {
+        node.directory.borrow_mut().remove(&id, now);
+        return;
+    }
+    let Some(upstream) = servers::read(object) else {
+        // An entry that became unreadable names no upstream to use.
+        node.directory.borrow_mut().remove(&id, now);
+        return;
+    };
+    let key = upstream.key.clone();
+    let newly = node.directory.borrow_mut().update(upstream, now);
+    if newly {
+        log::info!(target: "lycheehaven", upstream = &*key.id, born = key.born, source = "store"; "upstream is leaving; it gets no new requests");
+    }
+}
--- /dev/null
+++ b/crates/guard/src/allotment.rs
@@ -0,0 +1,152 @@
+//! Limits of workspaces over all entries together.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_types::HashMap;
+use lycheehaven_types::Name;
+
+use crate::sliding::Sliding;
+
+/// Silence after which a peer is taken to spend its even share unseen.
+const SILENT: Duration = Duration::from_millis(1500);
+
+/// What a workspace may spend in one window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Units in a window.
+    pub units: f64,
+    /// Further units that absorb what peers spent since they last reported.
+    pub slack: f64,
+}
+
+#[derive(Debug)]
+struct PeerSpend {
+    incarnation: u64,
+    heard: Instant,
+    spent: HashMap<Name, f64>,
+}
+
+/// Counts what each workspace spent here and at the peers.
+///
+/// The sum over all entries stays within a limit plus what is spent between
+/// two reports: an entry adds the peers' last reports to its own spending, and
+/// for a peer that it does not hear it sets aside the peer's even share. A peer
+/// that hears nobody sets aside the shares of all others, and so keeps to its
+/// own.
+#[derive(Debug)]
+pub struct Allotments {
+    window: Duration,
+    own: HashMap<Name, Sliding>,
+    peers: HashMap<Name, PeerSpend>,
+}
+
+impl Allotments {
+    /// Counts over windows of this length.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            own: HashMap::default(),
+            peers: HashMap::default(),
+        }
+    }
+
+    /// Length of the window.
+    pub fn window(&self) -> Duration {
+        self.window
+    }
+
+    /// Takes over what a peer spent in the last window.
+    pub fn hear(&mut self, peer: &Name, incarnation: u64, spent: &[(Name, f64)], now: Instant) {
+        let reported: HashMap<Name, f64> = spent.iter().cloned().collect();
+        let entry = PeerSpend {
+            incarnation,
+            heard: now,
+            spent: reported,
+        };
+        match self.peers.get(peer) {
+            // A restarted peer starts at zero; what it spent before still
+            // counts until the window has passed.
+            Some(known) if known.incarnation != incarnation => {
+                let earlier = format!("{peer}/{}", known.incarnation);
+                let known = self.peers.insert(peer.clone(), entry);
+                if let Some(known) = known {
+                    self.peers.insert(earlier.into(), known);
+                }
+            }
+            _ => {
+                self.peers.insert(peer.clone(), entry);
+            }
+        }
+        let window = self.window;
+        self.peers
+            .retain(|_, known| now.saturating_duration_since(known.heard) < window);
+    }
+
+    /// What each workspace spent here in the last window.
+    pub fn report(&mut self, now: Instant) -> Vec<(Name, f64)> {
+        self.own
+            .iter_mut()
+            .map(|(workspace, sum)| (workspace.clone(), sum.sum(now)))
+            .filter(|(_, sum)| *sum > 0.0)
+            .collect()
+    }
+
+    /// Spends `cost` if the limit allows it. `members` are all entries that may
+    /// be running, this one included.
+    ///
+    /// # Errors
+    /// The time after which it may be allowed.
+    pub fn admit(
+        &mut self,
+        workspace: &Name,
+        limit: Limit,
+        cost: f64,
+        members: &[Name],
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let elsewhere = self.elsewhere(workspace, limit, members, now);
+        let window = self.window;
+        let own = self
+            .own
+            .entry(workspace.clone())
+            .or_insert_with(|| Sliding::new(window));
+        let total = own.sum(now) + elsewhere + cost;
+        let over = total - (limit.units + limit.slack);
+        if over > 0.0 {
+            return Err(own.frees(over, now));
+        }
+        own.add(cost, now);
+        Ok(())
+    }
+
+    fn elsewhere(&self, workspace: &Name, limit: Limit, members: &[Name], now: Instant) -> f64 {
+        let share = limit.units / members.len().max(1) as f64;
+        let heard = |peer: &Name| {
+            self.peers
+                .get(peer)
+                .is_some_and(|known| now.saturating_duration_since(known.heard) < SILENT)
+        };
+        let reported = |known: &PeerSpend| known.spent.get(workspace).copied().unwrap_or(0.0);
+        let mut total = 0.0;
+        for (peer, known) in &self.peers {
+            if now.saturating_duration_since(known.heard) >= self.window {
+                continue;
+            }
+            let silent_member = members.contains(peer) && !heard(peer);
+            total += if silent_member {
+                reported(known).max(share)
+            } else {
+                reported(known)
+            };
+        }
+        // One member is this entry itself, which `peers` never holds.
+        let known = members.iter().filter(|peer| {
+            self.peers.get(*peer).is_some_and(|known| {
+                now.saturating_duration_since(known.heard) < self.window
+            })
+        });
+        let unknown = members.len().saturating_sub(1 + known.count());
+        total + unknown as f64 * share
+    }
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,5 +1,6 @@
 //! Response bodies, and bounded reading of request bodies.
 
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::task::Context;
@@ -19,13 +20,27 @@
 /// the receiver can tell a cut answer from a whole one.
 pub type BodySender = mpsc::Sender<io::Result<Bytes>>;
 
+/// A stream of chunks that ends early with an error.
+pub type ChunkStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
+
 /// Body of a request or a response.
-#[derive(Debug)]
 pub enum Body {
     /// All bytes are known.
     Full(Option<Bytes>),
     /// Bytes arrive from a [`BodySender`].
     Stream(mpsc::Receiver<io::Result<Bytes>>),
+    /// Bytes are produced on demand; dropping the body ends the production.
+    Chunks(ChunkStream),
+}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Full(_) => "Body::Full",
+            Self::Stream(_) => "Body::Stream",
+            Self::Chunks(_) => "Body::Chunks",
+        })
+    }
 }
 
 impl Body {
@@ -54,6 +69,10 @@
             Self::Stream(receiver) => Pin::new(receiver)
                 .poll_next(cx)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Chunks(stream) => stream
+                .as_mut()
+                .poll_next(cx)
+                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
         }
     }
 
@@ -66,7 +85,7 @@
             Self::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream(_) | Self::Chunks(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub use body::Body;
 pub use body::BodySender;
+pub use body::ChunkStream;
 pub use body::read_body;
 pub use caller::CallError;
 pub use caller::Caller;
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -5,9 +5,13 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// Source of the current time.
 pub trait Clock {
-    /// Monotonic time, for timeouts and leases.
+    /// Time that never goes back, for timeouts and leases. It goes on while the
+    /// VM is suspended.
     fn now(&self) -> Instant;
 
     /// Wall-clock time, for values that other processes read.
@@ -15,12 +19,33 @@
 }
 
 /// The operating system's clocks.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct SystemClock;
+#[derive(Debug, Clone, Copy)]
+pub struct SystemClock {
+    anchor: Instant,
+    anchor_boot: Duration,
+}
+
+impl SystemClock {
+    /// Creates a clock that counts suspensions from now on.
+    pub fn new() -> Self {
+        Self {
+            anchor: Instant::now(),
+            anchor_boot: since_boot(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
 
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        // `Instant` stands still during a suspension and the boot-time clock
+        // does not; leases and freshness of belief need the latter.
+        self.anchor + since_boot().saturating_sub(self.anchor_boot)
     }
 
     fn wall(&self) -> SystemTime {
@@ -28,6 +53,11 @@
     }
 }
 
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// A clock that moves only when told to.
 #[derive(Debug)]
 pub struct ManualClock {
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -117,6 +117,11 @@
     PlatformUnavailable "platform_unavailable" 503 NotRun after(2);
     /// The platform did not say whether the change took effect.
     PlatformUncertain "platform_uncertain" 504 Unknown after(2);
+    /// The configuration is not known, or not known to be the newest.
+    ConfigUnknown "config_unknown" 503 NotRun after(1);
+    /// The request has crashed upstreams and is not sent to further ones for a
+    /// time.
+    Suspended "suspended" 503 NotRun after(30);
     /// A fault in this program.
     Internal "internal" 500 Unknown NEVER;
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -25,3 +25,6 @@
 
 /// Hash set with the hasher of [`HashMap`].
 pub type HashSet<K> = rustc_hash::FxHashSet<K>;
+
+/// The hasher of [`HashMap`].
+pub type FastHasher = rustc_hash::FxHasher;
--- a/src/bin/lycheehaven.rs
+++ b/src/bin/lycheehaven.rs
@@ -8,7 +8,11 @@
 use getopts::Options;
 use lycheehaven_config::Settings;
 
-const USAGE: &str = "Usage: lycheehaven [--check] FILE";
+const USAGE: &str = "Usage: lycheehaven [--check] FILE
+       lycheehaven [--check] gateway FILE
+
+The first form runs an entry with lycheehaven's own API. The second runs a
+gateway, whose routes the platform's operator declares.";
 
 /// Exit code for bad arguments or settings.
 const EXIT_USAGE: u8 = 2;
@@ -28,9 +32,30 @@
     if matches.opt_present("version") {
         return print(concat!("lycheehaven ", env!("CARGO_PKG_VERSION")));
     }
-    let [file] = matches.free.as_slice() else {
-        return usage_error("exactly one settings FILE is needed");
+    let check = matches.opt_present("check");
+    match matches.free.as_slice() {
+        [mode, file] if mode == "gateway" => gateway(file, check),
+        [file] => entry(file, check),
+        _ => usage_error("exactly one settings FILE is needed"),
+    }
+}
+
+fn gateway(file: &str, check: bool) -> ExitCode {
+    let settings = match lycheehaven_gateway::Settings::load(Path::new(file)) {
+        Ok(settings) => settings,
+        Err(cause) => {
+            eprintln!("{cause}");
+            return ExitCode::from(EXIT_USAGE);
+        }
     };
+    if check {
+        return print(&format!("{file}: settings are valid"));
+    }
+    let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
+    finish(run(level, lycheehaven_gateway::run(settings)))
+}
+
+fn entry(file: &str, check: bool) -> ExitCode {
     let settings = match Settings::load(Path::new(file)) {
         Ok(settings) => settings,
         Err(cause) => {
@@ -38,10 +63,15 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    if matches.opt_present("check") {
+    if check {
         return print(&format!("{file}: settings are valid"));
     }
-    match run(settings) {
+    let entry = lycheehaven_entry::run(settings);
+    finish(run(log::LevelFilter::Info, entry))
+}
+
+fn finish(result: Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             eprintln!("lycheehaven: {cause:#}");
@@ -50,10 +80,10 @@
     }
 }
 
-fn run(settings: Settings) -> Result<()> {
-    lycheehaven_entry::start_logging(log::LevelFilter::Info)?;
+fn run(level: log::LevelFilter, daemon: impl Future<Output = Result<()>>) -> Result<()> {
+    lycheehaven_entry::start_logging(level)?;
     let runtime = compio::runtime::Runtime::new().wrap_err("creating the event loop")?;
-    runtime.block_on(lycheehaven_entry::run(settings))
+    runtime.block_on(daemon)
 }
 
 #[allow(clippy::print_stdout)]
