--- a/crates/dispatch/src/book.rs
+++ b/crates/dispatch/src/book.rs
@@ -6,6 +6,11 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Ranks that are told apart; the last one stands for all less urgent ones.
+pub const RANKS: usize = 4;
 
 /// Age at which a peer's report no longer counts.
 const STALE: Duration = Duration::from_secs(2);
@@ -22,6 +27,65 @@
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.15;
 
+/// Weight of the newest answer in the slowness.
+const SLOWNESS_WEIGHT: f64 = 0.2;
+
+/// Bounds of the slowness.
+const SLOWNESS_RANGE: (f64, f64) = (0.7, 8.0);
+
+/// Time that is added to both sides when an answer is compared with what was
+/// expected, so that short answers do not decide.
+const SLOWNESS_FLOOR: Duration = Duration::from_millis(60);
+
+/// Requests at an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that were sent and have not ended.
+    pub requests: u32,
+    /// Tokens of memory that these will need.
+    pub memory: u64,
+    /// Prompt tokens that are still to be read, by rank.
+    pub unread: [u64; RANKS],
+}
+
+impl Load {
+    /// The load of one request.
+    pub fn of(unread: u64, memory: u64, priority: u8) -> Self {
+        let mut load = Self {
+            requests: 1,
+            memory,
+            unread: [0; RANKS],
+        };
+        load.unread[rank(priority)] = unread;
+        load
+    }
+
+    /// Prompt tokens that are read before those of a request of `priority`.
+    pub fn unread_before(&self, priority: u8) -> u64 {
+        self.unread[..=rank(priority)].iter().sum()
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.memory += other.memory;
+        for (sum, more) in self.unread.iter_mut().zip(other.unread) {
+            *sum += more;
+        }
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.memory = self.memory.saturating_sub(other.memory);
+        for (sum, less) in self.unread.iter_mut().zip(other.unread) {
+            *sum = sum.saturating_sub(less);
+        }
+    }
+}
+
+fn rank(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
+
 /// Load that an upstream told with an answer.
 #[derive(Debug, Clone, Copy)]
 pub struct Told {
@@ -31,30 +95,40 @@
     pub at: Instant,
 }
 
-/// One entry's requests at an upstream.
-#[derive(Debug, Clone, PartialEq)]
+/// One entry's load at an upstream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Upstream.
     pub upstream: UpstreamKey,
-    /// Requests that were sent and have not ended.
-    pub requests: u32,
-    /// Prompt tokens of those that have not answered yet.
-    pub unread: u64,
+    /// Load.
+    pub load: Load,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Entry {
-    requests: u32,
-    unread: u64,
-    peer_requests: u32,
-    peer_unread: u64,
+    own: Load,
+    peers: Load,
     told: Option<Told>,
     failures: u32,
     failure_rate: f64,
-    delay: f64,
+    slowness: f64,
     closed_until: Option<Instant>,
 }
 
+impl Default for Entry {
+    fn default() -> Self {
+        Self {
+            own: Load::default(),
+            peers: Load::default(),
+            told: None,
+            failures: 0,
+            failure_rate: 0.0,
+            slowness: 1.0,
+            closed_until: None,
+        }
+    }
+}
+
 /// Load of all upstreams.
 #[derive(Debug, Default)]
 pub struct LoadBook {
@@ -65,29 +139,20 @@
 
 impl LoadBook {
     /// Counts a request that is sent to `upstream`.
-    pub fn begin(&mut self, upstream: &UpstreamKey, unread: u64) {
+    pub fn begin(&mut self, upstream: &UpstreamKey, load: &Load) {
         let entry = self.entries.entry(upstream.clone()).or_default();
-        entry.requests += 1;
-        entry.unread += unread;
-    }
-
-    /// Notes that a request's prompt has been read.
-    pub fn answered(&mut self, upstream: &UpstreamKey, unread: u64) {
-        if let Some(entry) = self.entries.get_mut(upstream) {
-            entry.unread = entry.unread.saturating_sub(unread);
-        }
+        entry.own.add(load);
     }
 
-    /// Counts a request that has ended.
-    pub fn end(&mut self, upstream: &UpstreamKey) {
+    /// Takes back part of the load of a request.
+    pub fn end(&mut self, upstream: &UpstreamKey, load: &Load) {
         if let Some(entry) = self.entries.get_mut(upstream) {
-            entry.requests = entry.requests.saturating_sub(1);
+            entry.own.subtract(load);
         }
     }
 
-    /// Notes the outcome of a request, and how long its answer took relative
-    /// to what was expected.
-    pub fn outcome(&mut self, upstream: &UpstreamKey, success: bool, delay: Option<Duration>) {
+    /// Notes the outcome of a request.
+    pub fn outcome(&mut self, upstream: &UpstreamKey, success: bool) {
         let entry = self.entries.entry(upstream.clone()).or_default();
         let failed = if success { 0.0 } else { 1.0 };
         entry.failure_rate += OUTCOME_WEIGHT * (failed - entry.failure_rate);
@@ -95,9 +160,17 @@
             entry.failures = 0;
             entry.closed_until = None;
         }
-        if let Some(delay) = delay {
-            entry.delay += OUTCOME_WEIGHT * (delay.as_secs_f64() * 1000.0 - entry.delay);
-        }
+    }
+
+    /// Notes how long an answer took, and how long was expected.
+    pub fn timing(&mut self, upstream: &UpstreamKey, taken: Duration, expected: Duration) {
+        let entry = self.entries.entry(upstream.clone()).or_default();
+        let ratio =
+            (taken + SLOWNESS_FLOOR).as_secs_f64() / (expected + SLOWNESS_FLOOR).as_secs_f64();
+        let (low, high) = SLOWNESS_RANGE;
+        // What was expected already holds the present slowness.
+        let measured = (ratio * entry.slowness).clamp(low, high);
+        entry.slowness += SLOWNESS_WEIGHT * (measured - entry.slowness);
     }
 
     /// Leaves an upstream out for a while, longer with each failure in a row.
@@ -124,15 +197,14 @@
         self.parts.get(&(upstream.clone(), part.clone())).copied()
     }
 
-    /// This entry's requests at all upstreams.
+    /// This entry's load at all upstreams.
     pub fn report(&self) -> Vec<LoadReport> {
         self.entries
             .iter()
-            .filter(|(_, entry)| entry.requests > 0)
+            .filter(|(_, entry)| entry.own.requests > 0)
             .map(|(upstream, entry)| LoadReport {
                 upstream: upstream.clone(),
-                requests: entry.requests,
-                unread: entry.unread,
+                load: entry.own,
             })
             .collect()
     }
@@ -145,34 +217,33 @@
 
     /// Forgets what is outdated: reports of silent peers, and upstreams for
     /// which `keep` is false.
-    pub fn sweep(&mut self, keep: impl Fn(&UpstreamKey) -> bool, cache_age: Duration, now: Instant) {
+    pub fn sweep(
+        &mut self,
+        keep: impl Fn(&UpstreamKey) -> bool,
+        cache_age: Duration,
+        now: Instant,
+    ) {
         self.sum_peers(now);
         self.entries
-            .retain(|upstream, entry| entry.requests > 0 || keep(upstream));
+            .retain(|upstream, entry| entry.own.requests > 0 || keep(upstream));
         self.parts.retain(|(upstream, _), at| {
             keep(upstream) && now.saturating_duration_since(*at) < cache_age
         });
     }
 
-    /// Requests at an upstream, of all entries that are heard.
-    pub fn requests(&self, upstream: &UpstreamKey, now: Instant) -> u32 {
+    /// Load at an upstream, of all entries that are heard.
+    pub fn load(&self, upstream: &UpstreamKey, now: Instant) -> Load {
         let Some(entry) = self.entries.get(upstream) else {
-            return 0;
+            return Load::default();
         };
-        let counted = entry.requests + entry.peer_requests;
-        match entry.told {
-            Some(told) if now.saturating_duration_since(told.at) < TOLD_STALE => {
-                counted.max(told.requests)
+        let mut load = entry.own;
+        load.add(&entry.peers);
+        if let Some(told) = entry.told {
+            if now.saturating_duration_since(told.at) < TOLD_STALE {
+                load.requests = load.requests.max(told.requests);
             }
-            _ => counted,
         }
-    }
-
-    /// Prompt tokens at an upstream that have not been read yet.
-    pub fn unread(&self, upstream: &UpstreamKey) -> u64 {
-        self.entries
-            .get(upstream)
-            .map_or(0, |entry| entry.unread + entry.peer_unread)
+        load
     }
 
     /// Part of the recent requests that failed.
@@ -182,9 +253,11 @@
             .map_or(0.0, |entry| entry.failure_rate)
     }
 
-    /// Milliseconds that recent answers took beyond what was expected.
-    pub fn delay(&self, upstream: &UpstreamKey) -> f64 {
-        self.entries.get(upstream).map_or(0.0, |entry| entry.delay)
+    /// How much slower an upstream is than expected; 1 if as expected.
+    pub fn slowness(&self, upstream: &UpstreamKey) -> f64 {
+        self.entries
+            .get(upstream)
+            .map_or(1.0, |entry| entry.slowness)
     }
 
     /// Whether an upstream is left out after failures.
@@ -199,14 +272,12 @@
         self.peers
             .retain(|_, (heard, _)| now.saturating_duration_since(*heard) < STALE);
         for entry in self.entries.values_mut() {
-            entry.peer_requests = 0;
-            entry.peer_unread = 0;
+            entry.peers = Load::default();
         }
         for (_, reports) in self.peers.values() {
             for report in reports {
                 let entry = self.entries.entry(report.upstream.clone()).or_default();
-                entry.peer_requests += report.requests;
-                entry.peer_unread += report.unread;
+                entry.peers.add(&report.load);
             }
         }
     }
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -2,42 +2,56 @@
 
 use std::hash::Hash;
 use std::hash::Hasher;
+use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_catalog::EngineSpec;
 use lycheehaven_catalog::PromptPart;
 use lycheehaven_catalog::Upstream;
 use lycheehaven_types::FastHasher;
 use lycheehaven_types::Name;
 
+use crate::book::Load;
 use crate::book::LoadBook;
 
-/// Weights of the choice, in milliseconds of expected delay.
+/// What the choice assumes of upstreams, and how it weighs what it expects.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
     /// Prompt tokens that an engine reads in a millisecond.
     pub read_rate: f64,
-    /// Delay by one more request that runs beside this one, times the slots.
+    /// Milliseconds of an engine's time that a written token takes when many
+    /// requests run beside each other.
+    pub write_ms: f64,
+    /// Part of an engine's time that goes to writing answers when all slots
+    /// are taken.
+    pub write_part: f64,
+    /// Time until a slot is free for each request that waits for one.
+    pub slot_wait: Duration,
+    /// Time that a plain service works on a request.
+    pub plain_work: Duration,
+    /// Shared tokens which, read again, cost as much as the request earns.
+    pub read_again: f64,
+    /// Power to which the expected part of the target is raised: a short delay
+    /// costs nothing, one near the target costs the request.
+    pub lateness: i32,
+    /// Weight of the requests that run beside this one.
     pub crowding: f64,
-    /// Delay by one request that waits for a slot.
-    pub waiting: f64,
-    /// Worth of not reading prompt parts again, as a multiple of the time that
-    /// reading takes: it also delays the requests that run beside this one.
-    pub miss_factor: f64,
-    /// Delay that stands for certain failure.
-    pub failure: f64,
-    /// Delay that stands for sending to another failure domain.
+    /// Weight of sending to another failure domain.
     pub crossing: f64,
 }
 
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            read_rate: 48.0,
-            crowding: 1500.0,
-            waiting: 200.0,
-            miss_factor: 2.0,
-            failure: 4000.0,
-            crossing: 3.0,
+            read_rate: 50.0,
+            write_ms: 0.22,
+            write_part: 0.4,
+            slot_wait: Duration::from_millis(60),
+            plain_work: Duration::from_millis(40),
+            read_again: 25_000.0,
+            lateness: 3,
+            crowding: 0.15,
+            crossing: 0.003,
         }
     }
 }
@@ -47,8 +61,18 @@
 pub struct Ask<'a> {
     /// Parts of its prompt, the last of which is its own.
     pub prompt: &'a [PromptPart],
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Tokens of memory that the request will need in all.
+    pub memory: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Time within which the answer should begin.
+    pub target: Duration,
     /// Failure domain of this entry.
     pub domain: &'a str,
+    /// What the engines are like, if the service has any.
+    pub engine: Option<&'a EngineSpec>,
     /// Random number that breaks ties.
     pub draw: u64,
 }
@@ -58,13 +82,16 @@
 pub struct Choice<'a> {
     /// Upstream.
     pub upstream: &'a Upstream,
-    /// Expected delay in milliseconds.
-    pub cost: f64,
-    /// Requests there.
-    pub requests: u32,
+    /// Time until the answer is expected to begin.
+    pub delay: Duration,
+    /// Prompt tokens that it probably has to read.
+    pub unread: u64,
+    /// Load there, without this request.
+    pub load: Load,
+    cost: f64,
 }
 
-/// Chooses the candidate with the least expected delay.
+/// Chooses the candidate that is expected to serve the request best.
 pub fn choose<'a>(
     candidates: impl Iterator<Item = &'a Upstream>,
     ask: &Ask<'_>,
@@ -80,34 +107,76 @@
     candidates
         .into_iter()
         .map(|upstream| {
-            let requests = book.requests(&upstream.key, now);
             let missed = match home {
                 Some(home) if home.key == upstream.key => 0,
                 _ => missed_tokens(upstream, shared, book),
             };
-            let cost = policy.load_cost(upstream, requests, book)
-                + missed as f64 / policy.read_rate * policy.miss_factor
-                + policy.failure * book.failure_rate(&upstream.key)
-                + if &*upstream.domain == ask.domain { 0.0 } else { policy.crossing }
-                + tie_break(&upstream.key.id, ask.draw);
-            Choice {
-                upstream,
-                cost,
-                requests,
-            }
+            policy.weigh(upstream, missed, ask, book, now)
         })
         .min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
 impl Policy {
-    fn load_cost(&self, upstream: &Upstream, requests: u32, book: &LoadBook) -> f64 {
+    /// Milliseconds of an engine's time for reading prompt tokens.
+    pub fn read_time(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.read_rate
+    }
+
+    /// Milliseconds of an engine's time for writing tokens, beside others.
+    pub fn write_time(&self, tokens: u64) -> f64 {
+        tokens as f64 * self.write_ms
+    }
+
+    fn weigh<'a>(
+        &self,
+        upstream: &'a Upstream,
+        missed: u64,
+        ask: &Ask<'_>,
+        book: &LoadBook,
+        now: Instant,
+    ) -> Choice<'a> {
+        let load = book.load(&upstream.key, now);
+        let shared: u64 = shared_parts(ask.prompt).iter().map(|part| part.tokens).sum();
+        let unread = ask.tokens.saturating_sub(shared) + missed;
+        let slowness = book.slowness(&upstream.key);
+        let delay = self.delay(upstream, unread, ask, &load).mul_f64(slowness);
+        let target = ask.target.as_secs_f64().max(0.001);
+        let slots = f64::from(upstream.slots.max(1));
+        let crossing = if &*upstream.domain == ask.domain {
+            0.0
+        } else {
+            self.crossing
+        };
+        let cost = (delay.as_secs_f64() / target).powi(self.lateness)
+            + missed as f64 / self.read_again
+            + self.crowding * f64::from(load.requests) / slots
+            + book.failure_rate(&upstream.key)
+            + crossing
+            + tie_break(&upstream.key.id, ask.draw);
+        Choice {
+            upstream,
+            delay,
+            unread,
+            load,
+            cost,
+        }
+    }
+
+    /// Time until an answer begins, if the upstream is as fast as expected.
+    fn delay(&self, upstream: &Upstream, unread: u64, ask: &Ask<'_>, load: &Load) -> Duration {
         let slots = f64::from(upstream.slots.max(1));
-        let requests = f64::from(requests);
+        let requests = f64::from(load.requests);
+        let Some(engine) = ask.engine else {
+            return self.plain_work.mul_f64(((requests + 1.0) / slots).max(1.0));
+        };
+        let queued = load.unread_before(ask.priority) + unread;
+        let taken = (requests / slots).min(1.0);
+        let rate = self.read_rate * (1.0 - self.write_part * taken);
         let waiting = (requests + 1.0 - slots).max(0.0);
-        self.crowding * requests / slots
-            + self.waiting * waiting
-            + book.unread(&upstream.key) as f64 / self.read_rate
-            + book.delay(&upstream.key)
+        let overflow = (load.memory + ask.memory).saturating_sub(engine.memory);
+        let memory_wait = overflow as f64 / self.read_rate;
+        Duration::from_secs_f64((queued as f64 / rate + memory_wait) / 1000.0)
+            + self.slot_wait.mul_f64(waiting)
     }
 }
 
@@ -144,11 +213,12 @@
     mix(hasher.finish())
 }
 
-/// Up to one millisecond that differs by upstream and request.
+/// A small cost that differs by upstream and request.
 fn tie_break(id: &str, draw: u64) -> f64 {
+    const MOST: f64 = 0.001;
     let mut hasher = FastHasher::default();
     id.hash(&mut hasher);
-    (mix(hasher.finish() ^ draw) >> 40) as f64 / f64::from(1_u32 << 24)
+    (mix(hasher.finish() ^ draw) >> 40) as f64 / f64::from(1_u32 << 24) * MOST
 }
 
 fn mix(hash: u64) -> u64 {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,8 +8,10 @@
 mod book;
 mod choose;
 
+pub use book::Load;
 pub use book::LoadBook;
 pub use book::LoadReport;
+pub use book::RANKS;
 pub use book::Told;
 pub use choose::Ask;
 pub use choose::Choice;
--- a/crates/duties/src/scaler.rs
+++ b/crates/duties/src/scaler.rs
@@ -7,33 +7,52 @@
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 
-/// Time for which a refused kind is not ordered again in a failure domain.
-const REFUSED: Duration = Duration::from_millis(1500);
+/// Time after a refusal until the same kind is ordered there again.
+const REFUSED: Duration = Duration::from_millis(2000);
 
-/// Time after which an order that has no visible effect is given again, beyond
-/// the boot time.
+/// Time after a refusal for which reclaimable engines count as scarce.
+const SCARCE: Duration = Duration::from_millis(3500);
+
+/// Time after which an order without visible effect is given again, beyond the
+/// boot time.
 const REPEAT: Duration = Duration::from_secs(4);
 
-/// Time for which a smaller number must suffice before on-demand engines are
-/// given back.
+/// Time for which fewer engines must suffice before any are given back.
 const SURPLUS: Duration = Duration::from_secs(4);
 
-/// Reclaimable engines for each engine that is needed, so that what is left
-/// suffices when a failure domain's are taken away.
-const RESERVE: f64 = 1.6;
-
-/// Engines of one kind in a failure domain.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Pool {
-    /// Engines that take requests.
-    pub ready: u32,
-    /// Engines that are leaving.
-    pub leaving: u32,
+/// Time for which the greatest need is remembered.
+const NEED_HELD: Duration = Duration::from_secs(10);
+
+/// What the scaler aims at.
+#[derive(Debug, Clone, Copy)]
+pub struct ScalePolicy {
+    /// Part of the time that an engine should be busy.
+    pub busy: f64,
+    /// Reclaimable engines for each engine that is needed, so that what is
+    /// left suffices when a failure domain's are taken away.
+    pub reserve: f64,
+    /// Part of the need that must be left if a further failure domain loses
+    /// its reclaimable engines while these are scarce.
+    pub insured: f64,
+    /// Part of the present engines that is taken to be needed before there was
+    /// any demand.
+    pub unknown: f64,
+}
+
+impl Default for ScalePolicy {
+    fn default() -> Self {
+        Self {
+            busy: 0.85,
+            reserve: 1.6,
+            insured: 0.6,
+            unknown: 0.6,
+        }
+    }
 }
 
-/// Engines of a service, by failure domain and by whether they are
-/// reclaimable.
-pub type Fleet = HashMap<(Name, bool), Pool>;
+/// Engines of a service that take requests, by failure domain and by whether
+/// they are reclaimable.
+pub type Fleet = HashMap<(Name, bool), u32>;
 
 /// An order to have a number of engines.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,27 +71,27 @@
     at: Instant,
 }
 
+type Numbers = HashMap<Name, u32>;
+
 /// Orders engines of one service.
 ///
 /// Reclaimable engines are cheap and are spread over all failure domains with
-/// a reserve. On-demand engines fill in where reclaimable ones are refused or
-/// still booting, the cheapest failure domain first.
+/// a reserve. On-demand engines fill in where reclaimable ones are refused,
+/// the cheapest failure domain first.
 #[derive(Debug, Default)]
 pub struct Scaler {
+    policy: ScalePolicy,
     given: HashMap<(Name, bool), Given>,
     refused: HashMap<(Name, bool), Instant>,
-    surplus: Option<Instant>,
+    surplus: HashMap<bool, Instant>,
+    held: Vec<(Instant, u32)>,
 }
 
 impl Scaler {
-    /// Forgets what was ordered, when another holder may have ordered since.
-    pub fn reset(&mut self) {
-        *self = Self::default();
-    }
-
     /// Notes that an order was accepted.
     pub fn accepted(&mut self, order: &Order, now: Instant) {
         let key = (order.domain.clone(), order.spot);
+        self.refused.remove(&key);
         let given = Given {
             desired: order.desired,
             at: now,
@@ -86,20 +105,21 @@
         self.refused.insert(key, now);
     }
 
-    /// Orders that give `need` engines with the reserve.
+    /// Orders for a service on which callers ask for the work of `busy`
+    /// engines; 0 if there was no demand yet, in which case on-demand engines
+    /// are replaced as soon as reclaimable ones are ordered.
     pub fn plan(
         &mut self,
         scaling: &Scaling,
         domains: &[Name],
         fleet: &Fleet,
-        need: u32,
+        busy: f64,
         now: Instant,
     ) -> Vec<Order> {
-        let spot = match scaling.spot_price {
-            Some(_) => spread(need, domains, scaling),
-            None => HashMap::default(),
-        };
-        let demand = self.on_demand(scaling, domains, fleet, &spot, need, now);
+        let need = self.need(fleet, busy, now);
+        let spot = self.spot(scaling, domains, need, now);
+        let total = self.on_demand_total(scaling, domains, fleet, need, busy > 0.0, now);
+        let demand = self.on_demand(scaling, domains, fleet, &spot, total);
         let mut orders = Vec::new();
         for domain in domains {
             for (kind, wanted) in [(true, &spot), (false, &demand)] {
@@ -110,49 +130,130 @@
         orders
     }
 
-    /// The on-demand engines that are needed beside the reclaimable ones.
-    fn on_demand(
+    /// Engines that are needed now, or were a short time ago.
+    fn need(&mut self, fleet: &Fleet, busy: f64, now: Instant) -> u32 {
+        let present: u32 = fleet.values().sum();
+        let need = if busy > 0.0 {
+            (busy / self.policy.busy).ceil() as u32
+        } else {
+            (f64::from(present) * self.policy.unknown).ceil() as u32
+        };
+        self.held
+            .retain(|(at, _)| now.saturating_duration_since(*at) < NEED_HELD);
+        self.held.push((now, need));
+        self.held
+            .iter()
+            .map(|(_, need)| *need)
+            .max()
+            .unwrap_or(need)
+            .max(1)
+    }
+
+    /// Reclaimable engines by failure domain, as even as possible.
+    fn spot(&mut self, scaling: &Scaling, domains: &[Name], need: u32, now: Instant) -> Numbers {
+        if scaling.spot_price.is_none() {
+            return Numbers::default();
+        }
+        let total = (f64::from(need) * self.policy.reserve).ceil() as u32;
+        let count = total
+            .div_ceil(domains.len().max(1) as u32)
+            .clamp(scaling.min, scaling.max.max(scaling.min));
+        let present: u32 = domains
+            .iter()
+            .map(|domain| self.ordered(domain, true))
+            .max()
+            .unwrap_or(0);
+        let count = if count < present && !self.is_surplus(true, now) {
+            present
+        } else {
+            count
+        };
+        if count >= present {
+            self.surplus.remove(&true);
+        }
+        domains
+            .iter()
+            .map(|domain| (domain.clone(), count))
+            .collect()
+    }
+
+    /// On-demand engines that are needed beside the reclaimable ones.
+    fn on_demand_total(
         &mut self,
         scaling: &Scaling,
         domains: &[Name],
         fleet: &Fleet,
-        spot: &HashMap<Name, u32>,
         need: u32,
+        loaded: bool,
         now: Instant,
-    ) -> HashMap<Name, u32> {
-        let running: u32 = domains
+    ) -> u32 {
+        let ready = |domain: &Name| fleet.get(&(domain.clone(), true)).copied().unwrap_or(0);
+        let running: u32 = domains.iter().map(ready).sum();
+        let coming: u32 = domains
             .iter()
-            .map(|domain| pool(fleet, domain, true).ready)
+            .map(|domain| self.coming(scaling, domain, ready(domain), now))
             .sum();
-        let current: u32 = domains
+        let mut wanted = need.saturating_sub(running + coming);
+        if self.is_scarce(now) {
+            let exposed = domains.iter().map(ready).max().unwrap_or(0);
+            let insured = (f64::from(need) * self.policy.insured).ceil() as u32;
+            wanted = wanted.max(insured.saturating_sub(running - exposed));
+        }
+        let current = self.on_demand_ordered(domains, fleet);
+        if wanted >= current {
+            self.surplus.remove(&false);
+            return wanted;
+        }
+        // Engines that run are given back when others do their work.
+        let spare = !loaded || (running >= need && self.is_surplus(false, now));
+        if spare { wanted } else { current }
+    }
+
+    fn on_demand_ordered(&self, domains: &[Name], fleet: &Fleet) -> u32 {
+        domains
             .iter()
-            .map(|domain| pool(fleet, domain, false).ready)
-            .sum();
-        let mut total = need.saturating_sub(running);
-        if total < current {
-            let since = *self.surplus.get_or_insert(now);
-            if now.saturating_duration_since(since) < SURPLUS {
-                return domains
-                    .iter()
-                    .map(|domain| (domain.clone(), pool(fleet, domain, false).ready))
-                    .collect();
-            }
-        } else {
-            self.surplus = None;
+            .map(|domain| self.on_demand_at(domain, fleet))
+            .sum()
+    }
+
+    fn on_demand_at(&self, domain: &Name, fleet: &Fleet) -> u32 {
+        let key = (domain.clone(), false);
+        match self.given.get(&key) {
+            Some(given) => given.desired,
+            None => fleet.get(&key).copied().unwrap_or(0),
         }
+    }
+
+    /// Distributes `total` on-demand engines, moving as few as possible.
+    fn on_demand(
+        &self,
+        scaling: &Scaling,
+        domains: &[Name],
+        fleet: &Fleet,
+        spot: &Numbers,
+        total: u32,
+    ) -> Numbers {
+        let planned = |domain: &Name| spot.get(domain).copied().unwrap_or(0);
+        let mut wanted: Numbers = domains
+            .iter()
+            .map(|domain| (domain.clone(), self.on_demand_at(domain, fleet)))
+            .collect();
         let mut cheapest: Vec<&Name> = domains.iter().collect();
         cheapest.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
-        let mut wanted: HashMap<Name, u32> = HashMap::default();
+        let mut sum: u32 = wanted.values().sum();
         for domain in &cheapest {
-            let room = scaling.max.saturating_sub(spot.get(*domain).copied().unwrap_or(0));
-            let count = total.min(room);
-            wanted.insert((*domain).clone(), count);
-            total -= count;
+            let held = wanted[*domain];
+            let room = scaling.max.saturating_sub(planned(domain) + held);
+            let more = total.saturating_sub(sum).min(room);
+            wanted.insert((*domain).clone(), held + more);
+            sum += more;
         }
-        for domain in domains {
-            let planned = spot.get(domain).copied().unwrap_or(0);
-            let count = wanted.entry(domain.clone()).or_insert(0);
-            *count = (*count).max(scaling.min.saturating_sub(planned));
+        for domain in cheapest.iter().rev() {
+            let held = wanted[*domain];
+            let least = scaling.min.saturating_sub(planned(domain));
+            let fewer = sum.saturating_sub(total).min(held.saturating_sub(least));
+            wanted.insert((*domain).clone(), held - fewer);
+            sum -= fewer;
         }
         wanted
     }
@@ -167,18 +268,20 @@
         now: Instant,
     ) -> Option<Order> {
         let key = (domain.clone(), spot);
-        if let Some(at) = self.refused.get(&key) {
-            if now.saturating_duration_since(*at) < REFUSED {
-                return None;
-            }
+        let refused = self
+            .refused
+            .get(&key)
+            .is_some_and(|at| now.saturating_duration_since(*at) < REFUSED);
+        if refused {
+            return None;
         }
-        let present = pool(fleet, domain, spot).ready;
+        let present = fleet.get(&key).copied().unwrap_or(0);
         let needed = match self.given.get(&key) {
             None => present != desired,
             Some(given) if given.desired != desired => true,
             Some(given) => {
                 let settled = now.saturating_duration_since(given.at) >= scaling.boot + REPEAT;
-                settled && present != desired
+                settled && present < desired
             }
         };
         needed.then(|| Order {
@@ -187,25 +290,36 @@
             desired,
         })
     }
-}
 
-/// Reclaimable engines by failure domain, as even as possible.
-fn spread(need: u32, domains: &[Name], scaling: &Scaling) -> HashMap<Name, u32> {
-    let total = (f64::from(need) * RESERVE).ceil() as u32;
-    let count = total
-        .div_ceil(domains.len().max(1) as u32)
-        .clamp(scaling.min, scaling.max.max(scaling.min));
-    domains
-        .iter()
-        .map(|domain| (domain.clone(), count))
-        .collect()
-}
+    fn ordered(&self, domain: &Name, spot: bool) -> u32 {
+        self.given
+            .get(&(domain.clone(), spot))
+            .map_or(0, |given| given.desired)
+    }
+
+    /// Reclaimable engines that were ordered and are still booting.
+    fn coming(&self, scaling: &Scaling, domain: &Name, ready: u32, now: Instant) -> u32 {
+        let Some(given) = self.given.get(&(domain.clone(), true)) else {
+            return 0;
+        };
+        let booting = now.saturating_duration_since(given.at) < scaling.boot + REPEAT / 2;
+        if booting {
+            given.desired.saturating_sub(ready)
+        } else {
+            0
+        }
+    }
 
-fn pool(fleet: &Fleet, domain: &Name, spot: bool) -> Pool {
-    fleet
-        .get(&(domain.clone(), spot))
-        .copied()
-        .unwrap_or_default()
+    fn is_scarce(&self, now: Instant) -> bool {
+        self.refused
+            .iter()
+            .any(|((_, spot), at)| *spot && now.saturating_duration_since(*at) < SCARCE)
+    }
+
+    fn is_surplus(&mut self, spot: bool, now: Instant) -> bool {
+        let since = *self.surplus.entry(spot).or_insert(now);
+        now.saturating_duration_since(since) >= SURPLUS
+    }
 }
 
 fn price(scaling: &Scaling, domain: &Name) -> f64 {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,8 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_channels::Channel;
 use lycheehaven_channels::SendError;
+use lycheehaven_dispatch::Load;
+use lycheehaven_dispatch::RANKS;
 use lycheehaven_dispatch::Told;
 use lycheehaven_net::Body;
 use lycheehaven_types::Digest;
@@ -77,9 +79,18 @@
         self.until.saturating_duration_since(now)
     }
 
-    fn prompt_tokens(&self) -> u64 {
+    /// Tokens of the prompt.
+    pub(crate) fn prompt_tokens(&self) -> u64 {
         self.head.tokens.map_or(0, |tokens| tokens.prompt)
     }
+
+    /// Tokens of memory that a run needs in all.
+    pub(crate) fn memory_tokens(&self) -> u64 {
+        let hint = self.head.output_hint;
+        self.head.tokens.map_or(0, |tokens| {
+            tokens.prompt + hint.map_or(tokens.output, |hint| hint.min(tokens.output))
+        })
+    }
 }
 
 /// Where a stream goes on that has been sent in part.
@@ -93,33 +104,51 @@
 pub(crate) struct Ticket {
     node: Rc<Node>,
     key: UpstreamKey,
-    unread: Cell<u64>,
+    load: Cell<Load>,
 }
 
 impl Ticket {
-    fn new(node: &Rc<Node>, key: &UpstreamKey, unread: u64) -> Self {
-        node.book.borrow_mut().begin(key, unread);
+    fn new(node: &Rc<Node>, key: &UpstreamKey, load: Load) -> Self {
+        node.book.borrow_mut().begin(key, &load);
         Self {
             node: node.clone(),
             key: key.clone(),
-            unread: Cell::new(unread),
+            load: Cell::new(load),
         }
     }
 
-    /// Notes that the upstream has begun to answer.
+    /// Notes that the upstream has begun to answer: the prompt has been read.
     pub(crate) fn answered(&self) {
-        let unread = self.unread.take();
-        self.node.book.borrow_mut().answered(&self.key, unread);
+        let load = self.load.get();
+        let read = Load {
+            requests: 0,
+            memory: 0,
+            ..load
+        };
+        self.node.book.borrow_mut().end(&self.key, &read);
+        self.load.set(Load {
+            unread: [0; RANKS],
+            ..load
+        });
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.answered();
-        self.node.book.borrow_mut().end(&self.key);
+        let load = self.load.get();
+        self.node.book.borrow_mut().end(&self.key, &load);
     }
 }
 
+/// An upstream that was chosen for a request.
+pub(crate) struct Target {
+    pub(crate) upstream: Upstream,
+    /// Prompt tokens that it probably has to read.
+    pub(crate) unread: u64,
+    /// Time until its answer is expected to begin.
+    pub(crate) expected: Duration,
+}
+
 /// An answer that has begun. Dropping it tells the upstream to stop.
 pub(crate) struct Answered {
     pub(crate) upstream: Upstream,
@@ -145,11 +174,14 @@
 pub(crate) async fn send(
     node: &Rc<Node>,
     job: &Job,
-    target: &Upstream,
+    chosen: &Target,
     resume: &Resume,
     until: Instant,
 ) -> Outcome {
-    let ticket = Ticket::new(node, &target.key, job.prompt_tokens());
+    let target = &chosen.upstream;
+    let load = Load::of(chosen.unread, job.memory_tokens(), job.priority);
+    let ticket = Ticket::new(node, &target.key, load);
+    let sent = node.now();
     let mut fresh = false;
     loop {
         let mut channel = match connect(node, job, target, fresh).await {
@@ -161,6 +193,10 @@
         let wait = until.saturating_duration_since(node.now());
         match compio::time::timeout(wait, channel.send(request)).await {
             Ok(Ok(response)) => {
+                let taken = node.now().saturating_duration_since(sent);
+                let mut book = node.book.borrow_mut();
+                book.timing(&target.key, taken, chosen.expected);
+                drop(book);
                 return classify(node, job, target.clone(), response, channel, ticket);
             }
             Ok(Err(SendError::NotSent)) if !fresh => fresh = true,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::node::pause;
 use crate::node::spawn;
 use crate::settings::Settings;
+use crate::spending;
 use crate::watch;
 
 const SIGHUP: i32 = 1;
@@ -75,6 +76,7 @@
     spawn(watch::follow_config(node.clone()));
     spawn(watch::follow_servers(node.clone()));
     spawn(watch::follow_members(node.clone()));
+    spawn(spending::load(node.clone()));
     spawn(exchange::register(node.clone()));
     spawn(exchange::send(node.clone(), peers.clone()));
     spawn(exchange::receive(node.clone(), peers));
@@ -104,7 +106,7 @@
         ..ServerLimits::default()
     };
     let handler = node.clone();
-    spawn(serve(front, limits, node.stop.clone(), move |request| {
+    spawn(serve(front, limits, node.accepting.clone(), move |request| {
         let node = handler.clone();
         front::handle(node, request)
     }));
@@ -182,6 +184,10 @@
         if since_asked >= grace {
             return;
         }
+        if since_asked >= BALANCER_LAG {
+            // Idle connections are closed, so that callers go elsewhere.
+            node.accepting.cancel();
+        }
         if node.open.get() > 0 {
             quiet_since = None;
             continue;
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -7,7 +7,6 @@
 use hyper::Method;
 use lycheehaven_adapter::cloud;
 use lycheehaven_catalog::Service;
-use lycheehaven_catalog::UpstreamState;
 use lycheehaven_duties::Counts;
 use lycheehaven_duties::Fleet;
 use lycheehaven_duties::Order;
@@ -23,6 +22,7 @@
 use crate::node::pause;
 use crate::settings::CloudSettings;
 use crate::settings::Duty;
+use crate::spending;
 use crate::store::Written;
 
 /// Kind and name of the last usage report in the store.
@@ -40,6 +40,15 @@
 /// Further time that is waited while peers are silent.
 const SETTLE_SILENT_MS: i64 = 3500;
 
+/// Time after the very first start until the engines have registered.
+const SETTLE_FIRST: Duration = Duration::from_millis(2500);
+
+/// Time after a restart until the demand of running callers is known.
+const SETTLE_RESTART: Duration = Duration::from_millis(4000);
+
+/// Interval at which the spending of workspaces near their limit is written.
+const KEEP_SPENDING: Duration = Duration::from_millis(1000);
+
 /// Silence after which a peer's entry is removed from the store.
 const MEMBER_GONE: Duration = Duration::from_secs(15);
 
@@ -55,6 +64,7 @@
         reported: None,
         scalers: HashMap::default(),
         held: None,
+        kept: None,
         node,
     };
     loop {
@@ -79,6 +89,7 @@
     reported: Option<Reported>,
     scalers: HashMap<Name, Scaler>,
     held: Option<u64>,
+    kept: Option<Instant>,
 }
 
 impl Duties {
@@ -99,6 +110,7 @@
         if self.cloud.duties.contains(&Duty::Scaling) {
             self.order_engines().await;
         }
+        self.keep_spending().await;
         self.remove_silent().await;
     }
 
@@ -243,10 +255,22 @@
             return Vec::new();
         };
         let now = self.node.now();
+        if now.saturating_duration_since(self.node.started) < self.settle() {
+            return Vec::new();
+        }
         let fleet = fleet(&self.node, &service.name);
-        let need = need(&self.node, service, now);
+        let busy = self.node.demand.borrow_mut().engines(&service.name, now);
         let scaler = self.scalers.entry(service.name.clone()).or_default();
-        scaler.plan(scaling, &self.node.settings.domains, &fleet, need, now)
+        scaler.plan(scaling, &self.node.settings.domains, &fleet, busy, now)
+    }
+
+    /// Time after the start until engines and demand are known well enough.
+    fn settle(&self) -> Duration {
+        if self.node.settings.first_start {
+            SETTLE_FIRST
+        } else {
+            SETTLE_RESTART
+        }
     }
 
     async fn order(&mut self, service: &Service, order: &Order) {
@@ -268,6 +292,28 @@
         );
     }
 
+    /// Writes down what workspaces near their limit have spent, so that a
+    /// restart of all entries does not forget it.
+    async fn keep_spending(&mut self) {
+        let node = &self.node;
+        let now = node.now();
+        let recent = self
+            .kept
+            .is_some_and(|at| now.saturating_duration_since(at) < KEEP_SPENDING);
+        if recent {
+            return;
+        }
+        let spent = spending::near_limit(node);
+        if spent.is_empty() {
+            return;
+        }
+        self.kept = Some(now);
+        if let Err(cause) = spending::write(node, spent).await {
+            let cause = cause.to_string();
+            log::info!(target: "lycheehaven", cause = cause.as_str(); "the spending can't be written");
+        }
+    }
+
     /// Removes the entries of peers that are gone for good.
     async fn remove_silent(&self) {
         let node = &self.node;
@@ -290,28 +336,10 @@
     let directory = node.directory.borrow();
     let mut fleet = Fleet::default();
     for upstream in directory.of(service) {
-        let pool = fleet
-            .entry((upstream.domain.clone(), upstream.spot))
-            .or_default();
-        if upstream.state == UpstreamState::Ready && directory.usable(upstream) {
-            pool.ready += 1;
-        } else {
-            pool.leaving += 1;
+        if directory.usable(upstream) {
+            let key = (upstream.domain.clone(), upstream.spot);
+            *fleet.entry(key).or_default() += 1;
         }
     }
     fleet
 }
-
-/// Engines that the present load needs.
-fn need(node: &Node, service: &Service, now: Instant) -> u32 {
-    let book = node.book.borrow();
-    let directory = node.directory.borrow();
-    let requests: u32 = directory
-        .of(&service.name)
-        .map(|upstream| book.requests(&upstream.key, now))
-        .sum();
-    let slots = service.engine.as_ref().map_or(1, |engine| engine.slots.max(1));
-    let comfortable = f64::from(slots) * 0.25;
-    let by_load = (f64::from(requests) / comfortable).ceil() as u32;
-    by_load.max(12)
-}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -65,11 +65,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Members {
     known: HashMap<Name, Known>,
+    loaded: bool,
 }
 
 impl Members {
     /// Takes over the full list.
     pub(crate) fn replace(&mut self, objects: &[Object]) {
+        self.loaded = true;
         self.known
             .retain(|name, _| objects.iter().any(|object| object.name == **name));
         for object in objects {
@@ -102,6 +104,11 @@
         self.known.insert(name, known);
     }
 
+    /// Whether the store has been read.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
     /// Names of all members and of `me`.
     pub(crate) fn names(&self, me: &Name) -> Vec<Name> {
         let mut names: Vec<Name> = self.known.keys().cloned().collect();
@@ -173,7 +180,8 @@
     wall_ms: i64,
     spent: Vec<(Name, f64)>,
     begun: Vec<Counts>,
-    loads: Vec<(UpstreamKey, u32, u64)>,
+    loads: Vec<LoadReport>,
+    demand: Vec<(Name, f64)>,
     leaving: Vec<UpstreamKey>,
     crashes: Vec<(Digest, UpstreamKey)>,
     holds_lease: bool,
@@ -266,7 +274,6 @@
         .wall()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |time| time.as_millis() as i64);
-    let loads = node.book.borrow().report();
     let message = Message {
         format: FORMAT,
         from: node.settings.name.clone(),
@@ -274,10 +281,8 @@
         wall_ms,
         spent: node.allotments.borrow_mut().report(now),
         begun: node.usage.borrow().report(),
-        loads: loads
-            .into_iter()
-            .map(|load| (load.upstream, load.requests, load.unread))
-            .collect(),
+        loads: node.book.borrow().report(),
+        demand: node.demand.borrow_mut().report(now),
         leaving: node
             .directory
             .borrow()
@@ -307,16 +312,8 @@
     node.usage
         .borrow_mut()
         .hear(from, message.incarnation, message.begun);
-    let loads = message
-        .loads
-        .into_iter()
-        .map(|(upstream, requests, unread)| LoadReport {
-            upstream,
-            requests,
-            unread,
-        })
-        .collect();
-    node.book.borrow_mut().hear(from, loads, now);
+    node.book.borrow_mut().hear(from, message.loads, now);
+    node.demand.borrow_mut().hear(from, message.demand, now);
     for key in &message.leaving {
         node.upstream_leaves(key, from);
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -18,7 +18,6 @@
 use lycheehaven_catalog::Catalog;
 use lycheehaven_catalog::Route;
 use lycheehaven_catalog::Workspace;
-use lycheehaven_guard::Limit;
 use lycheehaven_net::Body;
 use lycheehaven_net::json_response;
 use lycheehaven_net::read_body;
@@ -31,6 +30,7 @@
 use crate::node::Node;
 use crate::node::OpenRequest;
 use crate::serve;
+use crate::spending;
 
 /// Longest wait for a body, whatever the limits say.
 const BODY_WAIT: Duration = Duration::from_secs(10);
@@ -93,6 +93,7 @@
         ));
     }
     let route = find_route(&catalog, &head, request.uri().path(), current)?;
+    let current = current && node.knows_peers();
     let workspace = find_workspace(&catalog, &route, &head, current)?;
     let (parts, body) = take_body(&catalog, request).await?;
     let target = parts
@@ -197,18 +198,10 @@
     }
     let now = node.now();
     let cost = request_cost(workspace, head);
-    let bounds = &node.settings.bounds;
-    let mut allotments = node.allotments.borrow_mut();
-    let units = workspace.rate * allotments.window().as_secs_f64() + workspace.burst;
-    let slack = if workspace.tokens { bounds.quota_slack } else { 0.0 };
-    // The rest of what may be exceeded covers spending that peers have not
-    // reported yet.
-    let limit = Limit {
-        units,
-        slack: (units * bounds.quota_over + slack) / 3.0,
-    };
+    let limit = spending::limit(node, workspace);
     let members = node.member_names();
-    allotments
+    node.allotments
+        .borrow_mut()
         .admit(&workspace.name, limit, cost, &members, now)
         .map_err(|wait| {
             Failure::new(ErrorKind::RateLimited, "the workspace's allotment is used up")
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -20,7 +20,7 @@
 const LEASE: (&str, &str) = ("lycheehaven-leases", "duties");
 
 /// Interval between renewals, in milliseconds.
-const RENEW_MS: u64 = 800;
+const RENEW_MS: u64 = 900;
 
 /// Silence of the holder after which the lease is looked at.
 const HOLDER_SILENT: Duration = Duration::from_millis(1200);
@@ -34,10 +34,11 @@
 impl LeaseHandle {
     pub(crate) fn new(node: &Rc<Node>) -> Rc<Self> {
         let me = format!("{}/{}", node.settings.name, node.incarnation);
+        let vm = node.settings.name.clone();
         let length = Duration::from_millis(node.settings.bounds.lease_ms + LEASE_MARGIN_MS);
         Rc::new(Self {
             node: node.clone(),
-            keeper: RefCell::new(LeaseKeeper::new(me.into(), length)),
+            keeper: RefCell::new(LeaseKeeper::new(me.into(), length).on_vm(vm)),
         })
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod serve;
 mod settings;
+mod spending;
 mod store;
 mod watch;
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use lycheehaven_channels::Pool;
 use lycheehaven_dispatch::LoadBook;
 use lycheehaven_dispatch::Policy;
+use lycheehaven_duties::Demand;
 use lycheehaven_duties::Usage;
 use lycheehaven_duties::WallAgreement;
 use lycheehaven_guard::Allotments;
@@ -32,6 +33,7 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) incarnation: u64,
+    pub(crate) started: Instant,
     pub(crate) store: Store,
     pub(crate) belief: RefCell<Belief>,
     pub(crate) directory: RefCell<Directory>,
@@ -42,9 +44,12 @@
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) suspects: RefCell<Suspects>,
     pub(crate) usage: RefCell<Usage>,
+    pub(crate) demand: RefCell<Demand>,
     pub(crate) wall: RefCell<WallAgreement>,
     pub(crate) metrics: Metrics,
     pub(crate) policy: Policy,
+    /// Whether the spending before this entry's start has been read.
+    pub(crate) spending_known: Cell<bool>,
     /// Whether this entry holds the lease.
     pub(crate) holds_lease: Cell<bool>,
     /// When a peer last said that it holds the lease.
@@ -55,6 +60,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Cancelled when the entry is told to stop.
     pub(crate) stop_asked: CancellationToken,
+    /// Cancelled when no further requests are taken.
+    pub(crate) accepting: CancellationToken,
     /// Cancelled when the servers must end.
     pub(crate) stop: CancellationToken,
 }
@@ -71,6 +78,7 @@
         let usage = Usage::new(Duration::from_secs_f64(bounds.window_s));
         Rc::new(Self {
             incarnation: rand::random(),
+            started: clock.now(),
             store: Store::new(settings.store.address),
             belief: RefCell::default(),
             directory: RefCell::default(),
@@ -81,14 +89,17 @@
             budget: RefCell::new(budget),
             suspects: RefCell::default(),
             usage: RefCell::new(usage),
+            demand: RefCell::default(),
             wall: RefCell::default(),
             metrics: Metrics::new(),
             policy: Policy::default(),
+            spending_known: Cell::new(false),
             holds_lease: Cell::new(false),
             holder_heard: Cell::new(None),
             open: Cell::new(0),
             stopping: Cell::new(false),
             stop_asked: CancellationToken::new(),
+            accepting: CancellationToken::new(),
             stop: CancellationToken::new(),
             settings,
             clock,
@@ -110,7 +121,13 @@
 
     /// Whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.is_current(self.now())
+        !self.stopping.get() && self.knows_peers() && self.is_current(self.now())
+    }
+
+    /// Whether it is known which entries share limits, and what was spent
+    /// before this entry started.
+    pub(crate) fn knows_peers(&self) -> bool {
+        self.members.borrow().is_loaded() && self.spending_known.get()
     }
 
     /// Milliseconds since the Unix epoch, as the entries agree.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -47,6 +47,8 @@
     last_event: Option<u64>,
     tried: Vec<UpstreamKey>,
     arrivals: u32,
+    /// Tokens in one event.
+    stride: u64,
     _open: OpenRequest,
 }
 
@@ -90,6 +92,7 @@
         ready: VecDeque::new(),
         last_event: job.head.last_event,
         arrivals,
+        stride: stride(node, job),
         _open: OpenRequest::new(node),
     };
     relay.fill().await?;
@@ -105,6 +108,17 @@
     Ok(serve::answer(parts.status, &parts.headers, body))
 }
 
+/// Tokens in one event of the service's streams.
+fn stride(node: &Node, job: &Job) -> u64 {
+    let belief = node.belief.borrow();
+    let service = belief
+        .catalog()
+        .and_then(|catalog| catalog.services.get(&job.service));
+    service
+        .and_then(|service| service.engine.as_ref())
+        .map_or(1, |engine| u64::from(engine.stride))
+}
+
 impl Relay {
     /// The next bytes for the caller; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, String> {
@@ -157,7 +171,9 @@
     }
 
     fn take(&mut self, bytes: &[u8]) {
-        for event in self.splitter.push(bytes) {
+        let events = self.splitter.push(bytes);
+        self.count_written(events.len());
+        for event in events {
             if event.id.is_some() {
                 self.last_event = event.id;
             }
@@ -165,6 +181,14 @@
         }
     }
 
+    fn count_written(&self, events: usize) {
+        let written = events as u64 * self.stride;
+        let work = self.node.policy.write_time(written);
+        let now = self.node.now();
+        let service = &self.job.service;
+        self.node.demand.borrow_mut().add(service, work, now);
+    }
+
     fn finish(&mut self) {
         if !self.splitter.is_empty() {
             self.ready.push_back(self.splitter.rest());
@@ -206,13 +230,13 @@
         while self.may_resume() && self.job.left(self.node.now()) > Duration::ZERO {
             let now = self.node.now();
             let target = serve::pick(&self.node, &self.job, &self.tried, now)
-                .map_err(|(_, message)| message.to_owned())?;
+                .map_err(|failure| failure.message)?;
             let members = self.node.members.borrow().count();
             let service = &self.job.service;
             if !self.node.budget.borrow_mut().take(service, members, now) {
                 return Err(format!("{cause}; the retry budget is used up"));
             }
-            self.tried.push(target.key.clone());
+            self.tried.push(target.upstream.key.clone());
             self.arrivals += 1;
             let resume = Resume {
                 last_event: self.last_event,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::attempt::Job;
 use crate::attempt::Outcome;
 use crate::attempt::Resume;
+use crate::attempt::Target;
 use crate::node::Node;
 use crate::relay;
 
@@ -31,15 +32,24 @@
 /// Upstreams that are tried for one request while none has received it.
 const MAX_UNREACHABLE: usize = 4;
 
-/// Waiting requests for each slot up to which an upstream is given more.
-const QUEUE_PART: f64 = 1.0;
+/// Expected delay, as a part of the route's target, above which a request is
+/// refused: its answer would come late and delay others.
+const MOST_DELAY: f64 = 1.0;
 
 /// Time after which a request that may be repeated is given up at one upstream,
 /// as a multiple of the route's target.
 const PATIENCE: u32 = 4;
 
-/// Time after which callers are asked to come back when all upstreams are full.
-const FULL_RETRY: Duration = Duration::from_millis(700);
+/// Least time after which callers are asked to come back.
+const LEAST_RETRY: Duration = Duration::from_millis(200);
+
+/// Longest time after which callers are asked to come back when all upstreams
+/// are full.
+const MOST_RETRY: Duration = Duration::from_millis(1500);
+
+/// Time after which callers are asked to come back when no upstream can be
+/// reached.
+const ABSENT_RETRY: Duration = Duration::from_millis(700);
 
 /// Upstreams that were tried, and what is left to do.
 #[derive(Debug, Default)]
@@ -54,8 +64,8 @@
 pub(crate) async fn serve(node: &Rc<Node>, job: Rc<Job>) -> Result<Response<Body>, Failure> {
     let mut tries = Tries::default();
     loop {
-        let target = next_upstream(node, &job, &mut tries)?;
-        tries.tried.push(target.key.clone());
+        let target = next_upstream(node, &job, &tries)?;
+        tries.tried.push(target.upstream.key.clone());
         let until = patience(node, &job, &tries);
         let outcome = attempt::send(node, &job, &target, &Resume::default(), until).await;
         log_attempt(&job, &target, &tries, &outcome);
@@ -72,7 +82,7 @@
             Outcome::Lost(cause) => {
                 tries.arrivals += 1;
                 let mut book = node.book.borrow_mut();
-                book.outcome(&target.key, false, None);
+                book.outcome(&target.upstream.key, false);
                 tries.lost = Some(cause);
             }
         }
@@ -80,43 +90,47 @@
 }
 
 /// The upstream for the next sending, or why there is none.
-fn next_upstream(node: &Node, job: &Job, tries: &mut Tries) -> Result<Upstream, Failure> {
+fn next_upstream(node: &Node, job: &Job, tries: &Tries) -> Result<Target, Failure> {
+    next_target(node, job, tries).map_err(|failure| match &tries.lost {
+        // The request has run or may have; no promise can be made.
+        Some(cause) => Failure::new(ErrorKind::UpstreamLost, cause.clone()),
+        None => failure,
+    })
+}
+
+fn next_target(node: &Node, job: &Job, tries: &Tries) -> Result<Target, Failure> {
     let now = node.now();
     if now >= job.until {
-        return Err(give_up(job, tries, ErrorKind::DeadlineBefore, "the time is up"));
+        return Err(Failure::new(ErrorKind::DeadlineBefore, "the time is up"));
     }
     let may_repeat = tries.lost.is_none() || job.route.repeatable();
     if !may_repeat || tries.arrivals >= job.route.attempts {
-        return Err(give_up(job, tries, ErrorKind::Overloaded, "no further upstream may be tried"));
+        return Err(full("no further upstream may be tried", LEAST_RETRY));
     }
     if tries.unreachable >= MAX_UNREACHABLE {
-        return Err(give_up(job, tries, ErrorKind::NoUpstream, "no upstream can be reached"));
+        return Err(absent("no upstream can be reached"));
     }
-    let target = pick(node, job, &tries.tried, now).map_err(|(kind, message)| give_up(job, tries, kind, message))?;
+    let target = pick(node, job, &tries.tried, now)?;
     if tries.arrivals > 0 {
         let members = node.members.borrow().count();
         if !node.budget.borrow_mut().take(&job.service, members, now) {
-            return Err(give_up(job, tries, ErrorKind::Overloaded, "the retry budget is used up"));
+            return Err(full("the retry budget is used up", LEAST_RETRY));
         }
     }
     Ok(target)
 }
 
-/// The failure for a request that no further upstream may get.
-fn give_up(job: &Job, tries: &Tries, kind: ErrorKind, message: &str) -> Failure {
-    match &tries.lost {
-        None => {
-            let failure = Failure::new(kind, message);
-            match kind {
-                ErrorKind::Overloaded | ErrorKind::NoUpstream => failure.retry_after(FULL_RETRY),
-                _ => failure,
-            }
-        }
-        Some(cause) if job.until <= job.received => {
-            Failure::new(ErrorKind::DeadlineWithin, cause.clone())
-        }
-        Some(cause) => Failure::new(ErrorKind::UpstreamLost, cause.clone()),
-    }
+/// A refusal because all upstreams are full for about `wait`. The time to come
+/// back is spread, so that callers do not return together.
+fn full(message: &str, wait: Duration) -> Failure {
+    let spread: f64 = rand::random_range(0.75..1.25);
+    let wait = wait.clamp(LEAST_RETRY, MOST_RETRY).mul_f64(spread);
+    Failure::new(ErrorKind::Overloaded, message).retry_after(wait)
+}
+
+fn absent(message: &str) -> Failure {
+    let spread: f64 = rand::random_range(0.75..1.25);
+    Failure::new(ErrorKind::NoUpstream, message).retry_after(ABSENT_RETRY.mul_f64(spread))
 }
 
 /// Chooses an upstream that was not tried.
@@ -125,41 +139,52 @@
     job: &Job,
     tried: &[UpstreamKey],
     now: Instant,
-) -> Result<Upstream, (ErrorKind, &'static str)> {
+) -> Result<Target, Failure> {
     let directory = node.directory.borrow();
-    let book = node.book.borrow();
-    let mut pool = node.pool.borrow_mut();
-    let members = node.members.borrow().count();
-    let connections = node
-        .belief
-        .borrow()
-        .catalog()
-        .and_then(|catalog| catalog.services.get(&job.service).map(|service| service.connections))
-        .unwrap_or(usize::MAX);
-    let share = (connections / members.max(1)).max(1);
-    let ask = Ask {
-        prompt: &job.head.prompt,
-        domain: &node.settings.domain,
-        draw: rand::random(),
-    };
     let candidates: Vec<&Upstream> = directory
         .ready(&job.service)
         .filter(|upstream| !tried.contains(&upstream.key))
         .collect();
     if candidates.is_empty() {
-        return Err((ErrorKind::NoUpstream, "no upstream of the service is ready"));
+        return Err(absent("no upstream of the service is ready"));
     }
+    let catalog = node.belief.borrow().catalog().cloned();
+    let service = catalog
+        .as_ref()
+        .and_then(|catalog| catalog.services.get(&job.service));
+    let members = node.members.borrow().count();
+    let connections = service.map_or(usize::MAX, |service| service.connections);
+    let share = (connections / members).max(1);
+    let ask = Ask {
+        prompt: &job.head.prompt,
+        tokens: job.prompt_tokens(),
+        memory: job.memory_tokens(),
+        priority: job.priority,
+        target: job.route.target,
+        domain: &node.settings.domain,
+        engine: service.and_then(|service| service.engine.as_ref()),
+        draw: rand::random(),
+    };
+    let mut pool = node.pool.borrow_mut();
     let open = candidates
-        .iter()
-        .copied()
+        .into_iter()
         .filter(|upstream| pool.open(&upstream.key).get() < share);
+    let book = node.book.borrow();
     let choice = choose(open, &ask, &book, &node.policy, now)
-        .ok_or((ErrorKind::NoUpstream, "all upstreams of the service failed lately"))?;
-    let slots = f64::from(choice.upstream.slots.max(1));
-    if f64::from(choice.requests) >= slots * (1.0 + QUEUE_PART) {
-        return Err((ErrorKind::Overloaded, "all upstreams of the service are full"));
+        .ok_or_else(|| absent("all upstreams of the service failed lately"))?;
+    if tried.is_empty() {
+        let work = node.policy.read_time(choice.unread);
+        node.demand.borrow_mut().add(&job.service, work, now);
+    }
+    let most = job.route.target.mul_f64(MOST_DELAY);
+    if choice.delay > most && choice.load.requests > 0 {
+        return Err(full("all upstreams of the service are full", choice.delay - most));
     }
-    Ok(choice.upstream.clone())
+    Ok(Target {
+        upstream: choice.upstream.clone(),
+        unread: choice.unread,
+        expected: choice.delay,
+    })
 }
 
 /// When to give a sending up: early only if another upstream may be tried.
@@ -183,9 +208,7 @@
     tries: &Tries,
 ) -> Result<Response<Body>, String> {
     let status = answered.response.status();
-    let waited = node.now().saturating_duration_since(job.received);
-    let healthy = !status.is_server_error();
-    note_outcome(node, job, &answered, healthy, waited);
+    note_outcome(node, job, &answered, !status.is_server_error());
     count_begun(node, job);
     if status.is_server_error() && may_try_again(node, job, tries) {
         return Err(format!("the upstream answered {status}"));
@@ -248,12 +271,11 @@
     response
 }
 
-fn note_outcome(node: &Node, job: &Job, answered: &Answered, healthy: bool, waited: Duration) {
+fn note_outcome(node: &Node, job: &Job, answered: &Answered, healthy: bool) {
     answered.ticket.answered();
     let now = node.now();
     let mut book = node.book.borrow_mut();
-    let excess = waited.saturating_sub(job.route.target);
-    book.outcome(&answered.upstream.key, healthy, Some(excess));
+    book.outcome(&answered.upstream.key, healthy);
     for part in &job.head.prompt {
         book.cached(&answered.upstream.key, &part.id, now);
     }
@@ -267,13 +289,13 @@
     }
 }
 
-fn log_attempt(job: &Job, target: &Upstream, tries: &Tries, outcome: &Outcome) {
+fn log_attempt(job: &Job, target: &Target, tries: &Tries, outcome: &Outcome) {
     let (result, cause) = match outcome {
         Outcome::Answered(answered) => {
             let status = answered.response.status();
             log::debug!(
                 target: "lycheehaven",
-                request = job.id(), upstream = &*target.key.id, status = status.as_u16();
+                request = job.id(), upstream = &*target.upstream.key.id, status = status.as_u16();
                 "the upstream answered"
             );
             return;
@@ -286,7 +308,7 @@
         target: "lycheehaven",
         request = job.id(),
         route = &*job.route.name,
-        upstream = &*target.key.id,
+        upstream = &*target.upstream.key.id,
         attempt = tries.tried.len(),
         outcome = result,
         cause = cause.as_str();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,9 @@
     /// What the deployment promises.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Descriptors that the process may open.
     #[serde(default = "default_descriptors")]
     pub descriptors: usize,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -26,6 +26,10 @@
 /// Time that a watch on the other entries waits.
 const MEMBERS_WAIT: Duration = Duration::from_millis(6000);
 
+/// Time for which changes of upstreams gather, as many come together and each
+/// call to the store is paid for.
+const GATHER_MS: u64 = 400;
+
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 150;
 
@@ -88,10 +92,14 @@
         match result {
             Ok(next) => {
                 lost.regained(&node, topic);
+                let changed = next.is_some() && next != revision;
                 if topic == Topic::Config && next.is_some() {
                     node.belief.borrow_mut().prove(sent);
                 }
                 revision = next;
+                if changed && topic == Topic::Servers {
+                    pause(GATHER_MS).await;
+                }
             }
             Err(cause) => {
                 lost.failed(&node, topic, &cause);
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -5,8 +5,7 @@
 
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
-
-use crate::sliding::Sliding;
+use lycheehaven_types::Sliding;
 
 /// Silence after which a peer is taken to spend its even share unseen.
 const SILENT: Duration = Duration::from_millis(1500);
@@ -92,6 +91,20 @@
             .collect()
     }
 
+    /// What a workspace spent in the last window here and at the peers that
+    /// were heard in it.
+    pub fn total(&mut self, workspace: &Name, now: Instant) -> f64 {
+        let own = self.own.get_mut(workspace).map_or(0.0, |sum| sum.sum(now));
+        let window = self.window;
+        let peers: f64 = self
+            .peers
+            .values()
+            .filter(|known| now.saturating_duration_since(known.heard) < window)
+            .filter_map(|known| known.spent.get(workspace))
+            .sum();
+        own + peers
+    }
+
     /// Spends `cost` if the limit allows it. `members` are all entries that may
     /// be running, this one included.
     ///
--- a/crates/guard/src/budget.rs
+++ b/crates/guard/src/budget.rs
@@ -5,8 +5,7 @@
 
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
-
-use crate::sliding::Sliding;
+use lycheehaven_types::Sliding;
 
 /// Part of the declared budget that is used; the rest covers requests that
 /// count in another window than their repeats, and restarted entries.
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -3,17 +3,14 @@
 //! [`Allotments`] holds workspaces to their limits over all entries together,
 //! [`RetryBudget`] bounds how often requests are sent to a second upstream,
 //! and [`Suspects`] finds requests that crash the upstreams which run them.
-//! Each is pure and counts over a [`Sliding`] window; what the entries tell
-//! each other is passed in.
+//! Each is pure; what the entries tell each other is passed in.
 
 mod allotment;
 mod budget;
-mod sliding;
 mod suspects;
 
 pub use allotment::Allotments;
 pub use allotment::Limit;
 pub use budget::BudgetTerms;
 pub use budget::RetryBudget;
-pub use sliding::Sliding;
 pub use suspects::Suspects;
--- a/crates/placement/src/lease.rs
+++ b/crates/placement/src/lease.rs
@@ -57,6 +57,8 @@
     absent: bool,
     writing: Option<(Lease, Instant)>,
     valid_from: Option<Instant>,
+    uncertain: bool,
+    vm: Option<Name>,
 }
 
 impl LeaseKeeper {
@@ -69,9 +71,23 @@
             absent: false,
             writing: None,
             valid_from: None,
+            uncertain: false,
+            vm: None,
         }
     }
 
+    /// Takes the lease over at once from an earlier run on the same VM, which
+    /// has ended: its holder's name is `vm`, a slash and the run.
+    pub fn on_vm(mut self, vm: Name) -> Self {
+        self.vm = Some(vm);
+        self
+    }
+
+    fn succeeds(&self, holder: &str) -> bool {
+        let former = holder.split_once('/').map(|(vm, _)| vm);
+        former.is_some() && former == self.vm.as_deref()
+    }
+
     /// The fencing number, if the lease may be relied on at `now`.
     pub fn fence(&self, now: Instant) -> Option<u64> {
         let from = self.valid_from?;
@@ -86,8 +102,11 @@
     /// Applies an event.
     pub fn handle(&mut self, event: LeaseEvent, now: Instant) -> Option<LeaseAction> {
         match event {
+            // A holder that knows the object's version renews without a read.
+            LeaseEvent::Tick if !self.uncertain && self.fence(now).is_some() => self.attempt(now),
             LeaseEvent::Tick => Some(LeaseAction::Load),
             LeaseEvent::Loaded(object) => {
+                self.uncertain = false;
                 self.observe(object, now);
                 self.attempt(now)
             }
@@ -101,6 +120,7 @@
                 // A lost answer is settled by the next read: a renewal that
                 // took effect shows this entry as the holder.
                 self.writing = None;
+                self.uncertain = true;
                 None
             }
         }
@@ -139,7 +159,8 @@
                 },
             ),
             Some((version, lease, since)) => {
-                if now.duration_since(*since) < self.length {
+                let lapsed = now.duration_since(*since) >= self.length;
+                if !lapsed && !self.succeeds(&lease.holder) {
                     return None;
                 }
                 let fence = lease.fence + 1;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod error;
 mod ids;
+mod sliding;
 
 pub use clock::Clock;
 pub use clock::ManualClock;
@@ -18,6 +19,7 @@
 pub use ids::Name;
 pub use ids::RequestId;
 pub use ids::rendezvous;
+pub use sliding::Sliding;
 
 /// Hash map with a fast, non-cryptographic hasher. Keys chosen by callers are
 /// hashed to [`Digest`] before they are used here.
