--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -47,12 +47,20 @@
     pub spot: bool,
 }
 
+/// A run that is known to leave.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    heard: Instant,
+    /// When it ends, if it has told.
+    ends: Option<Instant>,
+}
+
 /// Registered upstreams, and those whose leaving was heard of. A run that was
 /// seen draining never counts as ready again, whichever message says so.
 #[derive(Debug, Default)]
 pub struct Directory {
     upstreams: HashMap<Name, Upstream>,
-    leaving: HashMap<UpstreamKey, Instant>,
+    leaving: HashMap<UpstreamKey, Leaving>,
     lapsing: HashSet<Name>,
     hold: Option<Instant>,
 }
@@ -83,16 +91,25 @@
             self.update(upstream, now);
         }
         self.leaving
-            .retain(|_, heard| now.saturating_duration_since(*heard) < Self::REMEMBER);
+            .retain(|_, leaving| now.saturating_duration_since(leaving.heard) < Self::REMEMBER);
     }
 
     /// Takes over one entry. Returns whether its run is newly leaving.
     pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
         let key = upstream.key.clone();
-        let draining = matches!(upstream.state, UpstreamState::Draining(_));
+        let state = upstream.state;
         self.lapsing.remove(&key.id);
         self.upstreams.insert(key.id.clone(), upstream);
-        draining && self.leave(&key, now)
+        match state {
+            UpstreamState::Ready => false,
+            UpstreamState::Draining(left) => {
+                let news = self.leave(&key, now);
+                if let (Some(left), Some(leaving)) = (left, self.leaving.get_mut(&key)) {
+                    leaving.ends = Some(now + left);
+                }
+                news
+            }
+        }
     }
 
     /// Forgets an upstream whose entry is gone, at once or when the hold ends.
@@ -120,7 +137,23 @@
 
     /// Remembers that a run leaves. Returns whether this was news.
     pub fn leave(&mut self, key: &UpstreamKey, now: Instant) -> bool {
-        self.leaving.insert(key.clone(), now).is_none()
+        let news = !self.leaving.contains_key(key);
+        if news {
+            let leaving = Leaving {
+                heard: now,
+                ends: None,
+            };
+            self.leaving.insert(key.clone(), leaving);
+        }
+        news
+    }
+
+    /// Time until a leaving run ends; `planned` counts from the news if the run
+    /// has told no time. `None` if it is not known to leave.
+    pub fn left(&self, key: &UpstreamKey, planned: Duration, now: Instant) -> Option<Duration> {
+        let leaving = self.leaving.get(key)?;
+        let ends = leaving.ends.unwrap_or(leaving.heard + planned);
+        Some(ends.saturating_duration_since(now))
     }
 
     /// Runs that are leaving.
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -85,6 +85,8 @@
     pub memory: u64,
     /// Bytes of memory per token, when moved.
     pub token_bytes: u64,
+    /// Megabits a second that an engine's link moves.
+    pub link_mbps: f64,
     /// Whether a running request can be moved to another engine.
     pub moves: bool,
     /// Tokens in one event of a stream.
--- /dev/null
+++ b/crates/catalog/tests/all.rs
@@ -0,0 +1,230 @@
+//! Routes, keys, the directory of upstreams, and the age of belief.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_catalog::Access;
+use lycheehaven_catalog::Belief;
+use lycheehaven_catalog::Catalog;
+use lycheehaven_catalog::ClientLimits;
+use lycheehaven_catalog::Directory;
+use lycheehaven_catalog::Route;
+use lycheehaven_catalog::RouteKind;
+use lycheehaven_catalog::Split;
+use lycheehaven_catalog::Upstream;
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_catalog::UpstreamState;
+use lycheehaven_catalog::Workspace;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "quotes.example".into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        priority: 0,
+        splits: vec![split("one", 90.0), split("two", 10.0)],
+        attempts: 2,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn split(service: &str, weight: f64) -> Split {
+    Split {
+        service: service.into(),
+        weight,
+    }
+}
+
+fn catalog(version: u64) -> Catalog {
+    let workspace = Workspace {
+        name: "parish".into(),
+        keys: vec!["k1".into()],
+        priority: None,
+        rate: 0.0,
+        burst: 0.0,
+        tokens: false,
+        plain_tokens: 0.0,
+    };
+    let public = Route {
+        public: true,
+        ..route("public", "/open/")
+    };
+    Catalog::new(
+        version,
+        vec![route("short", "/a/"), route("long", "/a/b/"), public],
+        Vec::new(),
+        vec![workspace],
+        ClientLimits::default(),
+    )
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    let catalog = catalog(1);
+    catalog.find(host, path).map(|route| route.name.to_string())
+}
+
+#[test]
+fn longest_prefix_wins() {
+    assert_eq!(found("quotes.example", "/a/x").as_deref(), Some("short"));
+    assert_eq!(found("quotes.example", "/a/b/x").as_deref(), Some("long"));
+}
+
+#[test]
+fn prefixes_match_whole_segments() {
+    assert_eq!(found("quotes.example", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(found("quotes.example", "/ab"), None);
+    assert_eq!(found("quotes.example", "/a"), None);
+}
+
+#[test]
+fn host_is_compared_without_port_and_case() {
+    assert!(found("Quotes.Example:8080", "/a/").is_some());
+    assert!(found("other.example", "/a/").is_none());
+}
+
+#[test]
+fn splits_follow_their_weights() {
+    let route = route("r", "/r/");
+    assert_eq!(&**route.service(0.0), "one");
+    assert_eq!(&**route.service(0.89), "one");
+    assert_eq!(&**route.service(0.91), "two");
+    assert_eq!(&**route.service(1.0), "two");
+}
+
+#[test]
+fn keys_open_routes_of_their_workspace() {
+    let catalog = catalog(1);
+    let keyed = catalog
+        .find("quotes.example", "/a/")
+        .expect("route")
+        .clone();
+    let open = catalog.find("quotes.example", "/open/").expect("route");
+    assert_eq!(catalog.access(&keyed, Some("k1")), Access::Workspace(0));
+    assert_eq!(catalog.access(&keyed, Some("k2")), Access::Denied);
+    assert_eq!(catalog.access(&keyed, None), Access::Denied);
+    assert_eq!(catalog.access(open, None), Access::Public);
+}
+
+#[test]
+fn versions_only_grow() {
+    let mut belief = Belief::default();
+    assert!(belief.adopt(catalog(5)));
+    assert!(!belief.adopt(catalog(4)));
+    assert!(!belief.adopt(catalog(5)));
+    assert_eq!(belief.catalog().expect("adopted").version, 5);
+    assert!(belief.adopt(catalog(9)));
+}
+
+#[test]
+fn age_counts_from_the_sending_of_the_proof() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut belief = Belief::default();
+    belief.prove(at(0));
+    assert_eq!(belief.age(at(1)), None, "nothing is known yet");
+    belief.adopt(catalog(1));
+    assert!(belief.fresh(at(999), Duration::from_secs(1)));
+    assert!(!belief.fresh(at(1000), Duration::from_secs(1)));
+    belief.prove(at(500));
+    belief.prove(at(200));
+    assert_eq!(belief.age(at(600)), Some(Duration::from_millis(100)));
+}
+
+fn upstream(id: &str, born: u64, state: UpstreamState) -> Upstream {
+    Upstream {
+        key: UpstreamKey {
+            id: id.into(),
+            born,
+        },
+        service: "llm".into(),
+        addr: "127.0.0.1:80".parse().expect("address"),
+        domain: "keila".into(),
+        slots: 4,
+        state,
+        spot: true,
+    }
+}
+
+fn ready(directory: &Directory) -> usize {
+    directory.ready("llm").count()
+}
+
+#[test]
+fn leaving_run_never_counts_as_ready_again() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.update(upstream("a", 1, UpstreamState::Ready), now);
+    assert_eq!(ready(&directory), 1);
+    assert!(directory.update(upstream("a", 1, UpstreamState::Draining(None)), now));
+    directory.update(upstream("a", 1, UpstreamState::Ready), now);
+    assert_eq!(ready(&directory), 0);
+    directory.update(upstream("a", 2, UpstreamState::Ready), now);
+    assert_eq!(ready(&directory), 1, "the next run is another one");
+}
+
+#[test]
+fn leaving_heard_from_a_peer_counts() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.update(upstream("a", 1, UpstreamState::Ready), now);
+    let key = upstream("a", 1, UpstreamState::Ready).key;
+    assert!(directory.leave(&key, now));
+    assert!(!directory.leave(&key, now));
+    assert_eq!(ready(&directory), 0);
+}
+
+#[test]
+fn missing_entry_is_gone_unless_the_store_was_away() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", 1, UpstreamState::Ready)], at(0));
+    directory.replace(Vec::new(), at(1));
+    assert_eq!(ready(&directory), 0);
+
+    directory.replace(vec![upstream("a", 1, UpstreamState::Ready)], at(2));
+    directory.hold_lapsed(at(2000));
+    directory.replace(Vec::new(), at(100));
+    assert_eq!(ready(&directory), 1, "it may have lapsed only");
+    assert_eq!(directory.expire(at(1999)), 0);
+    assert_eq!(directory.expire(at(2000)), 1);
+    assert_eq!(ready(&directory), 0);
+}
+
+#[test]
+fn lapsed_entry_that_comes_back_stays() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut directory = Directory::default();
+    directory.hold_lapsed(at(2000));
+    directory.update(upstream("a", 1, UpstreamState::Ready), at(0));
+    directory.remove(&"a".into(), at(10));
+    directory.update(upstream("a", 1, UpstreamState::Ready), at(500));
+    assert_eq!(directory.expire(at(2000)), 0);
+    assert_eq!(ready(&directory), 1);
+}
+
+#[test]
+fn time_left_is_what_the_run_told_or_what_is_planned() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let planned = Duration::from_millis(2000);
+    let mut directory = Directory::default();
+    let key = upstream("a", 1, UpstreamState::Ready).key;
+    assert_eq!(directory.left(&key, planned, at(0)), None);
+    directory.leave(&key, at(0));
+    assert_eq!(
+        directory.left(&key, planned, at(500)),
+        Some(Duration::from_millis(1500))
+    );
+    let told = UpstreamState::Draining(Some(Duration::from_millis(700)));
+    directory.update(upstream("a", 1, told), at(500));
+    assert_eq!(
+        directory.left(&key, planned, at(600)),
+        Some(Duration::from_millis(600))
+    );
+}
--- a/crates/dispatch/src/book.rs
+++ b/crates/dispatch/src/book.rs
@@ -238,10 +238,11 @@
         };
         let mut load = entry.own;
         load.add(&entry.peers);
-        if let Some(told) = entry.told {
-            if now.saturating_duration_since(told.at) < TOLD_STALE {
-                load.requests = load.requests.max(told.requests);
-            }
+        let told = entry
+            .told
+            .filter(|told| now.saturating_duration_since(told.at) < TOLD_STALE);
+        if let Some(told) = told {
+            load.requests = load.requests.max(told.requests);
         }
         load
     }
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -136,7 +136,10 @@
         now: Instant,
     ) -> Choice<'a> {
         let load = book.load(&upstream.key, now);
-        let shared: u64 = shared_parts(ask.prompt).iter().map(|part| part.tokens).sum();
+        let shared: u64 = shared_parts(ask.prompt)
+            .iter()
+            .map(|part| part.tokens)
+            .sum();
         let unread = ask.tokens.saturating_sub(shared) + missed;
         let slowness = book.slowness(&upstream.key);
         let delay = self.delay(upstream, unread, ask, &load).mul_f64(slowness);
--- /dev/null
+++ b/crates/dispatch/tests/choose.rs
@@ -0,0 +1,189 @@
+//! The choice of an upstream.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_catalog::EngineSpec;
+use lycheehaven_catalog::PromptPart;
+use lycheehaven_catalog::Upstream;
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_catalog::UpstreamState;
+use lycheehaven_dispatch::Ask;
+use lycheehaven_dispatch::Load;
+use lycheehaven_dispatch::LoadBook;
+use lycheehaven_dispatch::LoadReport;
+use lycheehaven_dispatch::Policy;
+use lycheehaven_dispatch::choose;
+
+const ENGINE: EngineSpec = EngineSpec {
+    slots: 64,
+    memory: 500_000,
+    token_bytes: 18_432,
+    link_mbps: 400_000.0,
+    moves: true,
+    stride: 5,
+};
+
+fn upstreams(count: usize) -> Vec<Upstream> {
+    (0..count)
+        .map(|index| Upstream {
+            key: UpstreamKey {
+                id: format!("engine-{index}").into(),
+                born: 1,
+            },
+            service: "llm".into(),
+            addr: "127.0.0.1:80".parse().expect("address"),
+            domain: if index % 2 == 0 { "even" } else { "odd" }.into(),
+            slots: 64,
+            state: UpstreamState::Ready,
+            spot: false,
+        })
+        .collect()
+}
+
+fn prompt(document: &str) -> Vec<PromptPart> {
+    let part = |id: &str, tokens| PromptPart {
+        id: id.into(),
+        tokens,
+    };
+    vec![part("system", 512), part(document, 4870), part("own", 6600)]
+}
+
+fn ask(prompt: &[PromptPart], priority: u8, draw: u64) -> Ask<'_> {
+    Ask {
+        prompt,
+        tokens: prompt.iter().map(|part| part.tokens).sum(),
+        memory: 12_500,
+        priority,
+        target: Duration::from_millis(1200),
+        domain: "even",
+        engine: Some(&ENGINE),
+        draw,
+    }
+}
+
+fn chosen(upstreams: &[Upstream], ask: &Ask<'_>, book: &LoadBook, now: Instant) -> UpstreamKey {
+    choose(upstreams.iter(), ask, book, &Policy::default(), now)
+        .expect("there are candidates")
+        .upstream
+        .key
+        .clone()
+}
+
+#[test]
+fn all_entries_prefer_the_same_engine_for_a_document() {
+    let upstreams = upstreams(12);
+    let now = Instant::now();
+    let prompt = prompt("manor chest");
+    let first = chosen(&upstreams, &ask(&prompt, 1, 1), &LoadBook::default(), now);
+    for draw in 2..20 {
+        let other = chosen(
+            &upstreams,
+            &ask(&prompt, 1, draw),
+            &LoadBook::default(),
+            now,
+        );
+        assert_eq!(first, other);
+    }
+}
+
+#[test]
+fn few_documents_move_when_an_engine_goes() {
+    let all = upstreams(12);
+    let now = Instant::now();
+    let book = LoadBook::default();
+    let mut moved = 0;
+    let mut stayed = 0;
+    for index in 0..200 {
+        let prompt = prompt(&format!("document {index}"));
+        let before = chosen(&all, &ask(&prompt, 1, 1), &book, now);
+        let after = chosen(&all[1..], &ask(&prompt, 1, 1), &book, now);
+        if before == all[0].key {
+            moved += 1;
+        } else {
+            assert_eq!(before, after);
+            stayed += 1;
+        }
+    }
+    assert!(moved > 0 && stayed > 150);
+}
+
+#[test]
+fn short_queue_at_home_is_worth_the_cached_document() {
+    let upstreams = upstreams(12);
+    let now = Instant::now();
+    let prompt = prompt("manor chest");
+    let mut book = LoadBook::default();
+    let home = chosen(&upstreams, &ask(&prompt, 1, 1), &book, now);
+    book.begin(&home, &Load::of(12_000, 12_500, 1));
+    assert_eq!(chosen(&upstreams, &ask(&prompt, 1, 1), &book, now), home);
+    for _ in 0..4 {
+        book.begin(&home, &Load::of(12_000, 12_500, 1));
+    }
+    assert_ne!(chosen(&upstreams, &ask(&prompt, 1, 1), &book, now), home);
+}
+
+#[test]
+fn urgent_requests_do_not_wait_for_less_urgent_prompts() {
+    let one = upstreams(1);
+    let now = Instant::now();
+    let prompt = vec![PromptPart {
+        id: "own".into(),
+        tokens: 800,
+    }];
+    let mut book = LoadBook::default();
+    book.begin(&one[0].key, &Load::of(100_000, 100_000, 1));
+    let policy = Policy::default();
+    let urgent = choose(one.iter(), &ask(&prompt, 0, 1), &book, &policy, now).expect("one");
+    let patient = choose(one.iter(), &ask(&prompt, 2, 1), &book, &policy, now).expect("one");
+    assert!(urgent.delay < Duration::from_millis(50), "{urgent:?}");
+    assert!(patient.delay > Duration::from_millis(1900), "{patient:?}");
+}
+
+#[test]
+fn load_of_peers_counts_until_it_is_stale() {
+    let one = upstreams(1);
+    let start = Instant::now();
+    let mut book = LoadBook::default();
+    let report = LoadReport {
+        upstream: one[0].key.clone(),
+        load: Load::of(50_000, 50_000, 1),
+    };
+    book.hear(&"peer".into(), vec![report], start);
+    assert_eq!(book.load(&one[0].key, start).requests, 1);
+    let later = start + Duration::from_secs(3);
+    book.sweep(|_| true, Duration::from_secs(30), later);
+    assert_eq!(book.load(&one[0].key, later).requests, 0);
+}
+
+#[test]
+fn failing_and_slow_engines_are_avoided() {
+    let upstreams = upstreams(4);
+    let now = Instant::now();
+    let prompt = prompt("manor chest");
+    let mut book = LoadBook::default();
+    let home = chosen(&upstreams, &ask(&prompt, 1, 1), &book, now);
+    for _ in 0..10 {
+        book.outcome(&home, false);
+    }
+    let second = chosen(&upstreams, &ask(&prompt, 1, 1), &book, now);
+    assert_ne!(second, home);
+    for _ in 0..20 {
+        book.timing(&second, Duration::from_secs(2), Duration::from_millis(200));
+    }
+    let third = chosen(&upstreams, &ask(&prompt, 1, 1), &book, now);
+    assert_ne!(third, second);
+}
+
+#[test]
+fn unreachable_engine_is_left_out_for_a_while() {
+    let one = upstreams(1);
+    let start = Instant::now();
+    let prompt = prompt("manor chest");
+    let mut book = LoadBook::default();
+    book.penalize(&one[0].key, start);
+    let policy = Policy::default();
+    assert!(choose(one.iter(), &ask(&prompt, 1, 1), &book, &policy, start).is_none());
+    let later = start + Duration::from_millis(301);
+    assert!(choose(one.iter(), &ask(&prompt, 1, 1), &book, &policy, later).is_some());
+}
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -14,6 +14,7 @@
 pub use scaler::Fleet;
 pub use scaler::Order;
 pub use scaler::ScalePolicy;
+pub use scaler::Scaled;
 pub use scaler::Scaler;
 pub use usage::Counts;
 pub use usage::Usage;
--- a/crates/duties/src/scaler.rs
+++ b/crates/duties/src/scaler.rs
@@ -45,7 +45,7 @@
             busy: 0.85,
             reserve: 1.6,
             insured: 0.6,
-            unknown: 0.6,
+            unknown: 0.8,
         }
     }
 }
@@ -54,6 +54,28 @@
 /// they are reclaimable.
 pub type Fleet = HashMap<(Name, bool), u32>;
 
+/// A service whose engines are ordered.
+#[derive(Debug, Clone, Copy)]
+pub struct Scaled<'a> {
+    /// Bounds and prices.
+    pub scaling: &'a Scaling,
+    /// All failure domains.
+    pub domains: &'a [Name],
+    /// Engines that take requests.
+    pub fleet: &'a Fleet,
+}
+
+impl Scaled<'_> {
+    fn ready(&self, domain: &Name, spot: bool) -> u32 {
+        let key = (domain.clone(), spot);
+        self.fleet.get(&key).copied().unwrap_or(0)
+    }
+
+    fn price(&self, domain: &Name) -> f64 {
+        self.scaling.prices.get(domain).copied().unwrap_or(1.0)
+    }
+}
+
 /// An order to have a number of engines.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
@@ -85,6 +107,8 @@
     refused: HashMap<(Name, bool), Instant>,
     surplus: HashMap<bool, Instant>,
     held: Vec<(Instant, u32)>,
+    /// Need before there was any demand, from the engines first seen.
+    unknown: Option<u32>,
 }
 
 impl Scaler {
@@ -108,25 +132,27 @@
     /// Orders for a service on which callers ask for the work of `busy`
     /// engines; 0 if there was no demand yet, in which case on-demand engines
     /// are replaced as soon as reclaimable ones are ordered.
-    pub fn plan(
-        &mut self,
-        scaling: &Scaling,
-        domains: &[Name],
-        fleet: &Fleet,
-        busy: f64,
-        now: Instant,
-    ) -> Vec<Order> {
-        let need = self.need(fleet, busy, now);
-        let spot = self.spot(scaling, domains, need, now);
-        let total = self.on_demand_total(scaling, domains, fleet, need, busy > 0.0, now);
-        let demand = self.on_demand(scaling, domains, fleet, &spot, total);
+    pub fn plan(&mut self, service: &Scaled<'_>, busy: f64, now: Instant) -> Vec<Order> {
+        let need = self.need(service.fleet, busy, now);
+        let planned = self.spot(service, need, now);
+        let total = self.on_demand_total(service, need, busy > 0.0, now);
+        let demand = self.on_demand(service, &planned, total);
+        let spot = within_bounds(service, planned, &demand);
         let mut orders = Vec::new();
-        for domain in domains {
+        for domain in service.domains {
             for (kind, wanted) in [(true, &spot), (false, &demand)] {
-                let desired = wanted.get(domain).copied().unwrap_or(0);
-                orders.extend(self.order(scaling, domain, kind, desired, fleet, now));
+                let order = Order {
+                    domain: domain.clone(),
+                    spot: kind,
+                    desired: wanted.get(domain).copied().unwrap_or(0),
+                };
+                if self.is_due(service, &order, now) {
+                    orders.push(order);
+                }
             }
         }
+        // Engines that are given back make room for those that are ordered.
+        orders.sort_by_key(|order| order.desired > service.ready(&order.domain, order.spot));
         orders
     }
 
@@ -136,7 +162,8 @@
         let need = if busy > 0.0 {
             (busy / self.policy.busy).ceil() as u32
         } else {
-            (f64::from(present) * self.policy.unknown).ceil() as u32
+            let unknown = (f64::from(present) * self.policy.unknown).ceil() as u32;
+            *self.unknown.get_or_insert(unknown)
         };
         self.held
             .retain(|(at, _)| now.saturating_duration_since(*at) < NEED_HELD);
@@ -150,7 +177,10 @@
     }
 
     /// Reclaimable engines by failure domain, as even as possible.
-    fn spot(&mut self, scaling: &Scaling, domains: &[Name], need: u32, now: Instant) -> Numbers {
+    fn spot(&mut self, service: &Scaled<'_>, need: u32, now: Instant) -> Numbers {
+        let Scaled {
+            scaling, domains, ..
+        } = service;
         if scaling.spot_price.is_none() {
             return Numbers::default();
         }
@@ -180,18 +210,17 @@
     /// On-demand engines that are needed beside the reclaimable ones.
     fn on_demand_total(
         &mut self,
-        scaling: &Scaling,
-        domains: &[Name],
-        fleet: &Fleet,
+        service: &Scaled<'_>,
         need: u32,
         loaded: bool,
         now: Instant,
     ) -> u32 {
-        let ready = |domain: &Name| fleet.get(&(domain.clone(), true)).copied().unwrap_or(0);
+        let domains = service.domains;
+        let ready = |domain: &Name| service.ready(domain, true);
         let running: u32 = domains.iter().map(ready).sum();
         let coming: u32 = domains
             .iter()
-            .map(|domain| self.coming(scaling, domain, ready(domain), now))
+            .map(|domain| self.coming(service, domain, now))
             .sum();
         let mut wanted = need.saturating_sub(running + coming);
         if self.is_scarce(now) {
@@ -199,7 +228,10 @@
             let insured = (f64::from(need) * self.policy.insured).ceil() as u32;
             wanted = wanted.max(insured.saturating_sub(running - exposed));
         }
-        let current = self.on_demand_ordered(domains, fleet);
+        let current: u32 = domains
+            .iter()
+            .map(|domain| self.on_demand_at(service, domain))
+            .sum();
         if wanted >= current {
             self.surplus.remove(&false);
             return wanted;
@@ -209,37 +241,26 @@
         if spare { wanted } else { current }
     }
 
-    fn on_demand_ordered(&self, domains: &[Name], fleet: &Fleet) -> u32 {
-        domains
-            .iter()
-            .map(|domain| self.on_demand_at(domain, fleet))
-            .sum()
-    }
-
-    fn on_demand_at(&self, domain: &Name, fleet: &Fleet) -> u32 {
-        let key = (domain.clone(), false);
-        match self.given.get(&key) {
+    /// On-demand engines that a failure domain has or was ordered to have.
+    fn on_demand_at(&self, service: &Scaled<'_>, domain: &Name) -> u32 {
+        match self.given.get(&(domain.clone(), false)) {
             Some(given) => given.desired,
-            None => fleet.get(&key).copied().unwrap_or(0),
+            None => service.ready(domain, false),
         }
     }
 
     /// Distributes `total` on-demand engines, moving as few as possible.
-    fn on_demand(
-        &self,
-        scaling: &Scaling,
-        domains: &[Name],
-        fleet: &Fleet,
-        spot: &Numbers,
-        total: u32,
-    ) -> Numbers {
+    fn on_demand(&self, service: &Scaled<'_>, spot: &Numbers, total: u32) -> Numbers {
+        let Scaled {
+            scaling, domains, ..
+        } = service;
         let planned = |domain: &Name| spot.get(domain).copied().unwrap_or(0);
         let mut wanted: Numbers = domains
             .iter()
-            .map(|domain| (domain.clone(), self.on_demand_at(domain, fleet)))
+            .map(|domain| (domain.clone(), self.on_demand_at(service, domain)))
             .collect();
         let mut cheapest: Vec<&Name> = domains.iter().collect();
-        cheapest.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
+        cheapest.sort_by(|a, b| service.price(a).total_cmp(&service.price(b)));
         let mut sum: u32 = wanted.values().sum();
         for domain in &cheapest {
             let held = wanted[*domain];
@@ -258,37 +279,26 @@
         wanted
     }
 
-    fn order(
-        &self,
-        scaling: &Scaling,
-        domain: &Name,
-        spot: bool,
-        desired: u32,
-        fleet: &Fleet,
-        now: Instant,
-    ) -> Option<Order> {
-        let key = (domain.clone(), spot);
+    /// Whether an order changes anything and may be given now.
+    fn is_due(&self, service: &Scaled<'_>, order: &Order, now: Instant) -> bool {
+        let key = (order.domain.clone(), order.spot);
         let refused = self
             .refused
             .get(&key)
             .is_some_and(|at| now.saturating_duration_since(*at) < REFUSED);
         if refused {
-            return None;
+            return false;
         }
-        let present = fleet.get(&key).copied().unwrap_or(0);
-        let needed = match self.given.get(&key) {
-            None => present != desired,
-            Some(given) if given.desired != desired => true,
+        let present = service.ready(&order.domain, order.spot);
+        match self.given.get(&key) {
+            None => present != order.desired,
+            Some(given) if given.desired != order.desired => true,
             Some(given) => {
-                let settled = now.saturating_duration_since(given.at) >= scaling.boot + REPEAT;
-                settled && present < desired
+                let wait = service.scaling.boot + REPEAT;
+                let settled = now.saturating_duration_since(given.at) >= wait;
+                settled && present < order.desired
             }
-        };
-        needed.then(|| Order {
-            domain: domain.clone(),
-            spot,
-            desired,
-        })
+        }
     }
 
     fn ordered(&self, domain: &Name, spot: bool) -> u32 {
@@ -298,13 +308,13 @@
     }
 
     /// Reclaimable engines that were ordered and are still booting.
-    fn coming(&self, scaling: &Scaling, domain: &Name, ready: u32, now: Instant) -> u32 {
+    fn coming(&self, service: &Scaled<'_>, domain: &Name, now: Instant) -> u32 {
         let Some(given) = self.given.get(&(domain.clone(), true)) else {
             return 0;
         };
-        let booting = now.saturating_duration_since(given.at) < scaling.boot + REPEAT / 2;
-        if booting {
-            given.desired.saturating_sub(ready)
+        let boot = service.scaling.boot + REPEAT / 2;
+        if now.saturating_duration_since(given.at) < boot {
+            given.desired.saturating_sub(service.ready(domain, true))
         } else {
             0
         }
@@ -322,6 +332,14 @@
     }
 }
 
-fn price(scaling: &Scaling, domain: &Name) -> f64 {
-    scaling.prices.get(domain).copied().unwrap_or(1.0)
+/// Reclaimable engines for which there is room beside on-demand ones.
+fn within_bounds(service: &Scaled<'_>, planned: Numbers, demand: &Numbers) -> Numbers {
+    planned
+        .into_iter()
+        .map(|(domain, count)| {
+            let taken = demand.get(&domain).copied().unwrap_or(0);
+            let room = service.scaling.max.saturating_sub(taken);
+            (domain, count.min(room))
+        })
+        .collect()
 }
--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -92,7 +92,10 @@
     pub fn total(&self, window: u64) -> HashMap<Name, u64> {
         let mut total: HashMap<Name, u64> = HashMap::default();
         let peers = self.peers.values();
-        for counts in peers.chain([&self.own]).filter_map(|windows| windows.get(&window)) {
+        for counts in peers
+            .chain([&self.own])
+            .filter_map(|windows| windows.get(&window))
+        {
             for (workspace, count) in counts {
                 *total.entry(workspace.clone()).or_insert(0) += count;
             }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -84,6 +84,11 @@
         self.head.tokens.map_or(0, |tokens| tokens.prompt)
     }
 
+    /// Most tokens of the answer.
+    pub(crate) fn output_tokens(&self) -> u64 {
+        self.head.tokens.map_or(0, |tokens| tokens.output)
+    }
+
     /// Tokens of memory that a run needs in all.
     pub(crate) fn memory_tokens(&self) -> u64 {
         let hint = self.head.output_hint;
@@ -141,6 +146,7 @@
 }
 
 /// An upstream that was chosen for a request.
+#[derive(Debug, Clone)]
 pub(crate) struct Target {
     pub(crate) upstream: Upstream,
     /// Prompt tokens that it probably has to read.
@@ -225,10 +231,9 @@
     let now = node.now();
     if !fresh {
         let taken = node.pool.borrow_mut().take(&target.key, now);
-        if let Some((channel, idle)) = taken {
-            if job.route.repeatable() || idle < SAFE_IDLE {
-                return Ok(channel);
-            }
+        let safe = taken.filter(|(_, idle)| job.route.repeatable() || *idle < SAFE_IDLE);
+        if let Some((channel, _)) = safe {
+            return Ok(channel);
         }
     }
     let open = node.pool.borrow_mut().open(&target.key);
@@ -293,7 +298,9 @@
         return Outcome::Lost("the success is not the upstream's own".into());
     }
     if claims_not_run(status) {
-        return Outcome::Lost(format!("status {status} without a statement of not running"));
+        return Outcome::Lost(format!(
+            "status {status} without a statement of not running"
+        ));
     }
     Outcome::Answered(Box::new(Answered {
         upstream: target,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -19,6 +19,7 @@
 use lycheehaven_types::SystemClock;
 
 use crate::duty;
+use crate::evacuate;
 use crate::exchange;
 use crate::front;
 use crate::lease::LeaseHandle;
@@ -57,7 +58,9 @@
 pub async fn run(settings: Settings) -> Result<()> {
     let front = bind(settings.listen).await.wrap_err("listen")?;
     let ready = bind(settings.ready_listen).await.wrap_err("ready_listen")?;
-    let metrics = bind(settings.metrics_listen).await.wrap_err("metrics_listen")?;
+    let metrics = bind(settings.metrics_listen)
+        .await
+        .wrap_err("metrics_listen")?;
     let peers = UdpSocket::bind(settings.peer_listen)
         .await
         .wrap_err("peer_listen")?;
@@ -83,6 +86,7 @@
     let lease = LeaseHandle::new(&node);
     spawn(lease.clone().run());
     spawn(duty::run(node.clone(), lease));
+    spawn(evacuate::run(node.clone()));
     spawn(sweep(node.clone()));
     wait_and_drain(&node).await;
     log::info!(target: "lycheehaven", open = node.open.get(); "stopped");
@@ -106,10 +110,15 @@
         ..ServerLimits::default()
     };
     let handler = node.clone();
-    spawn(serve(front, limits, node.accepting.clone(), move |request| {
-        let node = handler.clone();
-        front::handle(node, request)
-    }));
+    spawn(serve(
+        front,
+        limits,
+        node.accepting.clone(),
+        move |request| {
+            let node = handler.clone();
+            front::handle(node, request)
+        },
+    ));
     let handler = node.clone();
     let token = node.stop.clone();
     spawn(serve(ready, ServerLimits::default(), token, move |_| {
@@ -161,16 +170,22 @@
         if lapsed > 0 {
             log::info!(target: "lycheehaven", count = lapsed; "upstreams whose entries did not come back are gone");
         }
-        let directory = node.directory.borrow();
-        node.pool.borrow_mut().sweep(|key| directory.is_open(key), now);
-        node.book
-            .borrow_mut()
-            .sweep(|key| directory.is_open(key), cache_age, now);
-        drop(directory);
+        forget_closed(&node, cache_age);
         pause(SWEEP_MS).await;
     }
 }
 
+/// Closes connections to upstreams that take no requests, and forgets their
+/// load.
+fn forget_closed(node: &Node, cache_age: Duration) {
+    let now = node.now();
+    let directory = node.directory.borrow();
+    let mut pool = node.pool.borrow_mut();
+    pool.sweep(|key| directory.is_open(key), now);
+    let mut book = node.book.borrow_mut();
+    book.sweep(|key| directory.is_open(key), cache_age, now);
+}
+
 /// Waits for the signal to stop, then until the open requests have ended.
 async fn wait_and_drain(node: &Rc<Node>) {
     node.stop_asked.cancelled().await;
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -10,6 +10,7 @@
 use lycheehaven_duties::Counts;
 use lycheehaven_duties::Fleet;
 use lycheehaven_duties::Order;
+use lycheehaven_duties::Scaled;
 use lycheehaven_duties::Scaler;
 use lycheehaven_net::Caller;
 use lycheehaven_types::HashMap;
@@ -122,10 +123,9 @@
         let undelivered = self.reported.as_ref().filter(|last| !last.delivered);
         if let Some(last) = undelivered {
             let counts = last.counts.clone();
-            if self.deliver(&counts).await {
-                if let Some(last) = &mut self.reported {
-                    last.delivered = true;
-                }
+            let delivered = self.deliver(&counts).await;
+            if let Some(last) = &mut self.reported {
+                last.delivered = delivered;
             }
             return;
         }
@@ -160,10 +160,17 @@
     /// The next window whose counts are complete.
     fn next_window(&self) -> Option<u64> {
         let node = &self.node;
+        let members = node.members.borrow();
+        let heard = members.heard(&node.settings.name, node.now());
+        let settle = if heard + 1 < members.count() {
+            SETTLE_SILENT_MS
+        } else {
+            SETTLE_MS
+        };
         let now_ms = node.wall_millis();
         let usage = node.usage.borrow();
+        let newest = usage.window_at(now_ms - settle).checked_sub(1)?;
         let late = (node.settings.bounds.usage_late_s * 1000.0) as i64;
-        let newest = usage.window_at(now_ms).checked_sub(1)?;
         let mut next = match &self.reported {
             Some(last) => last.counts.window + 1,
             None => newest,
@@ -172,10 +179,7 @@
         while next < newest && usage.end(next) + late < now_ms {
             next += 1;
         }
-        let peers = node.members.borrow().count() - 1;
-        let heard = node.members.borrow().heard(&node.settings.name, node.now());
-        let settle = if heard < peers { SETTLE_SILENT_MS } else { SETTLE_MS };
-        (next <= newest && usage.end(next) + settle <= now_ms).then_some(next)
+        (next <= newest).then_some(next)
     }
 
     /// Writes a window's counts into the store, so that every later holder
@@ -227,7 +231,14 @@
         let headers = cloud::holder_headers(&self.node.settings.name, fence);
         let result = self
             .caller
-            .call_with(Method::POST, self.cloud.address, path, &headers, body, CLOUD_WAIT)
+            .call_with(
+                Method::POST,
+                self.cloud.address,
+                path,
+                &headers,
+                body,
+                CLOUD_WAIT,
+            )
             .await;
         match result {
             Ok(reply) => Some(reply.status),
@@ -261,7 +272,12 @@
         let fleet = fleet(&self.node, &service.name);
         let busy = self.node.demand.borrow_mut().engines(&service.name, now);
         let scaler = self.scalers.entry(service.name.clone()).or_default();
-        scaler.plan(scaling, &self.node.settings.domains, &fleet, busy, now)
+        let scaled = Scaled {
+            scaling,
+            domains: &self.node.settings.domains,
+            fleet: &fleet,
+        };
+        scaler.plan(&scaled, busy, now)
     }
 
     /// Time after the start until engines and demand are known well enough.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -12,6 +12,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
+use hyper::header::TRANSFER_ENCODING;
 use lycheehaven_adapter::caller;
 use lycheehaven_adapter::caller::CallerHead;
 use lycheehaven_catalog::Access;
@@ -44,6 +45,9 @@
     let received = node.now();
     let head = caller::read(request.headers());
     let id = head.id.clone();
+    // A length beside the coding may have been dropped, so that what follows
+    // on the connection can't be trusted.
+    let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let result = admit(&node, request, head, received).await;
     let mut response = match result {
         Ok(job) => serve_job(&node, job).await,
@@ -52,11 +56,14 @@
             refuse(&failure)
         }
     };
-    node.metrics.answer(response.status().as_u16(), node.now().saturating_duration_since(received));
+    node.metrics.answer(
+        response.status().as_u16(),
+        node.now().saturating_duration_since(received),
+    );
     if response.headers().get(RETRY_AFTER).is_some() || response.status().as_u16() >= 400 {
         caller::mark_answer(response.headers_mut(), id.as_ref());
     }
-    if node.stopping.get() {
+    if chunked || node.stopping.get() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -68,7 +75,13 @@
     match serve::serve(node, job.clone()).await {
         Ok(response) => response,
         Err(failure) => {
-            log_failure(node, job.head.id.as_ref(), Some(&job.route.name), &failure, job.received);
+            log_failure(
+                node,
+                job.head.id.as_ref(),
+                Some(&job.route.name),
+                &failure,
+                job.received,
+            );
             refuse(&failure)
         }
     }
@@ -83,9 +96,8 @@
 ) -> Result<Job, Failure> {
     let catalog = node.belief.borrow().catalog().cloned();
     let current = node.is_current(received);
-    let catalog = catalog.ok_or_else(|| {
-        Failure::new(ErrorKind::ConfigUnknown, "no configuration is known yet")
-    })?;
+    let catalog = catalog
+        .ok_or_else(|| Failure::new(ErrorKind::ConfigUnknown, "no configuration is known yet"))?;
     if head.ambiguous {
         return Err(Failure::new(
             ErrorKind::BadRequest,
@@ -113,11 +125,13 @@
         spend(node, workspace, &head)?;
     }
     let service = route.service(rand::random()).clone();
-    node.budget
-        .borrow_mut()
-        .request(&service, node.now());
+    node.budget.borrow_mut().request(&service, node.now());
     let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
-    let timeout = if route.timeout.is_zero() { deadline } else { route.timeout };
+    let timeout = if route.timeout.is_zero() {
+        deadline
+    } else {
+        route.timeout
+    };
     let priority = workspace
         .and_then(|workspace| workspace.priority)
         .unwrap_or(route.priority);
@@ -204,8 +218,11 @@
         .borrow_mut()
         .admit(&workspace.name, limit, cost, &members, now)
         .map_err(|wait| {
-            Failure::new(ErrorKind::RateLimited, "the workspace's allotment is used up")
-                .retry_after(wait)
+            Failure::new(
+                ErrorKind::RateLimited,
+                "the workspace's allotment is used up",
+            )
+            .retry_after(wait)
         })
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 mod attempt;
 mod daemon;
 mod duty;
-mod events;
+mod evacuate;
 mod exchange;
 mod front;
 mod lease;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,8 +46,16 @@
 
     fn registered(mut self) -> Self {
         let registry = &mut self.registry;
-        registry.register("answers", "Answers to callers by status", self.answers.clone());
-        registry.register("failures", "Failures of the system's own by kind", self.failures.clone());
+        registry.register(
+            "answers",
+            "Answers to callers by status",
+            self.answers.clone(),
+        );
+        registry.register(
+            "failures",
+            "Failures of the system's own by kind",
+            self.failures.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time until an answer's head",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,6 +23,7 @@
 use lycheehaven_types::Name;
 use tokio_util::sync::CancellationToken;
 
+use crate::evacuate::Streams;
 use crate::exchange::Members;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -46,6 +47,7 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) wall: RefCell<WallAgreement>,
+    pub(crate) streams: RefCell<Streams>,
     pub(crate) metrics: Metrics,
     pub(crate) policy: Policy,
     /// Whether the spending before this entry's start has been read.
@@ -91,6 +93,7 @@
             usage: RefCell::new(usage),
             demand: RefCell::default(),
             wall: RefCell::default(),
+            streams: RefCell::default(),
             metrics: Metrics::new(),
             policy: Policy::default(),
             spending_known: Cell::new(false),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,14 +14,17 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_channels::Channel;
 use lycheehaven_net::Body;
+use lycheehaven_net::EventSplitter;
 
 use crate::attempt;
 use crate::attempt::Answered;
 use crate::attempt::Job;
 use crate::attempt::Outcome;
 use crate::attempt::Resume;
+use crate::attempt::Target;
 use crate::attempt::Ticket;
-use crate::events::EventSplitter;
+use crate::evacuate::Moved;
+use crate::evacuate::StreamState;
 use crate::node::Node;
 use crate::node::OpenRequest;
 use crate::serve;
@@ -49,6 +52,8 @@
     arrivals: u32,
     /// Tokens in one event.
     stride: u64,
+    state: Rc<StreamState>,
+    number: u64,
     _open: OpenRequest,
 }
 
@@ -77,6 +82,8 @@
         ticket,
     } = answered;
     let (parts, body) = response.into_parts();
+    let state = StreamState::new(job, &upstream, node.now());
+    let number = node.streams.borrow_mut().add(state.clone());
     let mut relay = Relay {
         node: node.clone(),
         job: job.clone(),
@@ -93,6 +100,8 @@
         last_event: job.head.last_event,
         arrivals,
         stride: stride(node, job),
+        state,
+        number,
         _open: OpenRequest::new(node),
     };
     relay.fill().await?;
@@ -142,7 +151,7 @@
         while self.ready.is_empty() && self.run.is_some() {
             match self.read().await {
                 Input::Bytes(bytes) => self.take(&bytes),
-                Input::End => self.finish(),
+                Input::End => self.end().await?,
                 Input::Broken(cause) => self.go_on(cause).await?,
             }
         }
@@ -155,7 +164,11 @@
         if left.is_zero() {
             return Input::Broken("the time is up".into());
         }
-        let stall = if self.may_resume() { left.min(STALL) } else { left };
+        let stall = if self.may_resume() {
+            left.min(STALL)
+        } else {
+            left
+        };
         let Some(run) = &mut self.run else {
             return Input::End;
         };
@@ -183,16 +196,37 @@
 
     fn count_written(&self, events: usize) {
         let written = events as u64 * self.stride;
+        self.state.written.set(self.state.written.get() + written);
         let work = self.node.policy.write_time(written);
         let now = self.node.now();
         let service = &self.job.service;
         self.node.demand.borrow_mut().add(service, work, now);
     }
 
+    /// Handles the end of the upstream's answer. A run that was moved ends
+    /// here too, but not its stream.
+    async fn end(&mut self) -> Result<(), String> {
+        match self.state.take_move().await {
+            None | Some(Moved::Failed) => {
+                self.finish();
+                Ok(())
+            }
+            Some(moved) => {
+                self.run = None;
+                self.splitter.rest();
+                if self.follow(moved).await {
+                    return Ok(());
+                }
+                self.resume("the moved run could not go on").await
+            }
+        }
+    }
+
     fn finish(&mut self) {
         if !self.splitter.is_empty() {
             self.ready.push_back(self.splitter.rest());
         }
+        self.node.streams.borrow_mut().remove(self.number, true);
         if let Some(run) = self.run.take() {
             drop(run.ticket);
             attempt::recycle(&self.node, &run.key, &run.head, run.channel);
@@ -206,13 +240,16 @@
     /// Continues a broken stream at another upstream.
     async fn go_on(&mut self, cause: String) -> Result<(), String> {
         let now = self.node.now();
-        if let Some(run) = self.run.take() {
-            self.node
-                .suspects
-                .borrow_mut()
-                .broke(self.job.digest, &run.key, now);
-        }
+        let source = self.run.take().map(|run| run.key);
         self.splitter.rest();
+        if let Some(moved) = self.state.take_move().await {
+            if self.follow(moved).await {
+                return Ok(());
+            }
+        } else if let Some(key) = source {
+            let mut suspects = self.node.suspects.borrow_mut();
+            suspects.broke(self.job.digest, &key, now);
+        }
         let result = self.resume(&cause).await;
         log::info!(
             target: "lycheehaven",
@@ -226,6 +263,49 @@
         result
     }
 
+    /// Goes on where the run's memory was moved to.
+    async fn follow(&mut self, moved: Moved) -> bool {
+        let (target, memory) = match moved {
+            Moved::To(target, memory) => ((*target).clone(), memory),
+            Moved::Stopped(memory) => {
+                let target = Target {
+                    upstream: self.state.upstream.borrow().clone(),
+                    unread: 0,
+                    expected: Duration::ZERO,
+                };
+                (target, memory)
+            }
+            Moved::Failed => return false,
+        };
+        let resume = Resume {
+            last_event: self.last_event,
+            memory: Some(memory),
+        };
+        let outcome = attempt::send(&self.node, &self.job, &target, &resume, self.job.until).await;
+        self.accept(outcome)
+    }
+
+    /// Takes over the answer of another run.
+    fn accept(&mut self, outcome: Outcome) -> bool {
+        let Outcome::Answered(answered) = outcome else {
+            return false;
+        };
+        if !answered.response.status().is_success() {
+            return false;
+        }
+        answered.ticket.answered();
+        *self.state.upstream.borrow_mut() = answered.upstream.clone();
+        self.tried.push(answered.upstream.key.clone());
+        self.run = Some(Run {
+            key: answered.upstream.key,
+            body: answered.response.into_body(),
+            head: answered.head,
+            channel: answered.channel,
+            ticket: answered.ticket,
+        });
+        true
+    }
+
     async fn resume(&mut self, cause: &str) -> Result<(), String> {
         while self.may_resume() && self.job.left(self.node.now()) > Duration::ZERO {
             let now = self.node.now();
@@ -244,22 +324,16 @@
             };
             let outcome =
                 attempt::send(&self.node, &self.job, &target, &resume, self.job.until).await;
-            let Outcome::Answered(answered) = outcome else {
-                continue;
-            };
-            if !answered.response.status().is_success() {
-                continue;
+            if self.accept(outcome) {
+                return Ok(());
             }
-            answered.ticket.answered();
-            self.run = Some(Run {
-                key: answered.upstream.key,
-                body: answered.response.into_body(),
-                head: answered.head,
-                channel: answered.channel,
-                ticket: answered.ticket,
-            });
-            return Ok(());
         }
         Err(cause.to_owned())
     }
 }
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.node.streams.borrow_mut().remove(self.number, false);
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -101,7 +101,7 @@
 fn next_target(node: &Node, job: &Job, tries: &Tries) -> Result<Target, Failure> {
     let now = node.now();
     if now >= job.until {
-        return Err(Failure::new(ErrorKind::DeadlineBefore, "the time is up"));
+        return Err(full("the time is up", LEAST_RETRY));
     }
     let may_repeat = tries.lost.is_none() || job.route.repeatable();
     if !may_repeat || tries.arrivals >= job.route.attempts {
@@ -178,7 +178,10 @@
     }
     let most = job.route.target.mul_f64(MOST_DELAY);
     if choice.delay > most && choice.load.requests > 0 {
-        return Err(full("all upstreams of the service are full", choice.delay - most));
+        return Err(full(
+            "all upstreams of the service are full",
+            choice.delay - most,
+        ));
     }
     Ok(Target {
         upstream: choice.upstream.clone(),
@@ -233,11 +236,7 @@
 
 /// Reads the whole answer before any of it goes on, so that a broken one can
 /// be asked for again.
-async fn collect(
-    node: &Rc<Node>,
-    job: &Job,
-    answered: Answered,
-) -> Result<Response<Body>, String> {
+async fn collect(node: &Rc<Node>, job: &Job, answered: Answered) -> Result<Response<Body>, String> {
     let Answered {
         upstream,
         response,
@@ -260,11 +259,7 @@
 }
 
 /// An answer with the upstream's status and headers.
-pub(crate) fn answer(
-    status: StatusCode,
-    headers: &hyper::HeaderMap,
-    body: Body,
-) -> Response<Body> {
+pub(crate) fn answer(status: StatusCode, headers: &hyper::HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = caller::answer_headers(headers);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -101,6 +101,8 @@
     pub window_s: f64,
     /// Seconds after its window within which usage is due.
     pub usage_late_s: f64,
+    /// Time for which a leaving upstream still serves.
+    pub drain_ms: u64,
     /// Seconds that a process has to stop.
     pub grace_s: f64,
     /// Seconds after its last use for which a prompt part is worth finding.
@@ -121,6 +123,7 @@
             lease_ms: 3000,
             window_s: 5.0,
             usage_late_s: 10.0,
+            drain_ms: 2000,
             grace_s: 8.0,
             again_s: 10.0,
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -155,7 +155,9 @@
     /// Deletes an object.
     pub(crate) async fn delete(&self, kind: &str, name: &str) -> Result<(), StoreError> {
         let path = store::object_path(kind, name);
-        let reply = self.call(Method::DELETE, &path, Bytes::new(), ANSWER_WAIT).await?;
+        let reply = self
+            .call(Method::DELETE, &path, Bytes::new(), ANSWER_WAIT)
+            .await?;
         if reply.status == 404 {
             return Ok(());
         }
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -155,9 +155,9 @@
         }
         // One member is this entry itself, which `peers` never holds.
         let known = members.iter().filter(|peer| {
-            self.peers.get(*peer).is_some_and(|known| {
-                now.saturating_duration_since(known.heard) < self.window
-            })
+            self.peers
+                .get(*peer)
+                .is_some_and(|known| now.saturating_duration_since(known.heard) < self.window)
         });
         let unknown = members.len().saturating_sub(1 + known.count());
         total + unknown as f64 * share
--- a/crates/gateway/src/events.rs
+++ b/crates/net/src/events.rs
@@ -8,24 +8,24 @@
 const MAX_EVENT: usize = 256 * 1024;
 
 /// One event, as received.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Event {
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
     /// All bytes of the event, with the empty line that ends it.
-    pub(crate) bytes: Bytes,
+    pub bytes: Bytes,
     /// The number that it carries, if any.
-    pub(crate) id: Option<u64>,
+    pub id: Option<u64>,
 }
 
 /// Collects bytes and gives out whole events.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     buffer: Vec<u8>,
     scanned: usize,
 }
 
 impl EventSplitter {
     /// Adds received bytes and returns the events that are now whole.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> VecDeque<Event> {
+    pub fn push(&mut self, bytes: &[u8]) -> VecDeque<Event> {
         self.buffer.extend_from_slice(bytes);
         let mut events = VecDeque::new();
         while let Some(end) = self.find_end() {
@@ -47,13 +47,13 @@
     }
 
     /// Takes the bytes of an event that is not whole.
-    pub(crate) fn rest(&mut self) -> Bytes {
+    pub fn rest(&mut self) -> Bytes {
         self.scanned = 0;
         std::mem::take(&mut self.buffer).into()
     }
 
     /// Whether no event is incomplete.
-    pub(crate) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod caller;
+mod events;
 mod once;
 mod server;
 mod sse;
@@ -19,6 +20,8 @@
 pub use caller::CallError;
 pub use caller::Caller;
 pub use caller::Reply;
+pub use events::Event;
+pub use events::EventSplitter;
 pub use once::OpenError;
 pub use once::open_once;
 pub use server::Handler;
--- /dev/null
+++ b/crates/net/tests/events.rs
@@ -0,0 +1,63 @@
+//! Streams of events, cut anywhere.
+
+use lycheehaven_net::Event;
+use lycheehaven_net::EventSplitter;
+use proptest::prelude::*;
+
+fn split(chunks: &[&[u8]]) -> (Vec<Event>, Vec<u8>) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for chunk in chunks {
+        events.extend(splitter.push(chunk));
+    }
+    (events, splitter.rest().to_vec())
+}
+
+#[test]
+fn event_is_given_out_when_it_is_whole() {
+    let (events, rest) = split(&[b"id: 7\ndata: a\n", b"\nid: 8\nda"]);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id, Some(7));
+    assert_eq!(&events[0].bytes[..], b"id: 7\ndata: a\n\n");
+    assert_eq!(rest, b"id: 8\nda");
+}
+
+#[test]
+fn carriage_returns_end_events_too() {
+    let (events, rest) = split(&[b"id: 1\r\ndata: a\r\n\r\n"]);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id, Some(1));
+    assert!(rest.is_empty());
+}
+
+#[test]
+fn event_without_a_number_has_none() {
+    let (events, _) = split(&[b": comment\n\n"]);
+    assert_eq!(events[0].id, None);
+}
+
+proptest! {
+    /// However the bytes are cut, nothing is lost, added or reordered.
+    #[test]
+    fn bytes_are_kept(
+        bytes in proptest::collection::vec(prop::sample::select(b"a:\n\rid1".to_vec()), 0..200),
+        cuts in proptest::collection::vec(0_usize..200, 0..8),
+    ) {
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(bytes.len())).collect();
+        cuts.push(bytes.len());
+        cuts.sort_unstable();
+        let mut start = 0;
+        let mut chunks: Vec<&[u8]> = Vec::new();
+        for cut in cuts {
+            chunks.push(&bytes[start..cut]);
+            start = cut;
+        }
+        let (events, rest) = split(&chunks);
+        let (whole, whole_rest) = split(&[&bytes]);
+        prop_assert_eq!(&events, &whole);
+        let mut joined: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        joined.extend(&rest);
+        prop_assert_eq!(joined, bytes);
+        prop_assert_eq!(rest, whole_rest);
+    }
+}
--- a/crates/placement/tests/lease.rs
+++ b/crates/placement/tests/lease.rs
@@ -77,3 +77,45 @@
     store.run(&mut keeper, start + Duration::from_secs(1), false);
     assert_eq!(keeper.fence(start + Duration::from_secs(1)), Some(1));
 }
+
+#[test]
+fn holder_renews_without_a_read() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut store = Store::default();
+    let mut keeper = LeaseKeeper::new("first".into(), LENGTH);
+    store.run(&mut keeper, at(0), false);
+    let action = keeper.handle(LeaseEvent::Tick, at(1));
+    assert!(matches!(action, Some(LeaseAction::Write(Some(1), _))));
+}
+
+#[test]
+fn holder_reads_after_a_lost_answer() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut store = Store::default();
+    let mut keeper = LeaseKeeper::new("first".into(), LENGTH);
+    store.run(&mut keeper, at(0), false);
+    store.run(&mut keeper, at(1), true);
+    assert_eq!(
+        keeper.handle(LeaseEvent::Tick, at(2)),
+        Some(LeaseAction::Load)
+    );
+    store.run(&mut keeper, at(2), false);
+    assert_eq!(keeper.fence(at(3)), Some(1), "the lost renewal took effect");
+}
+
+#[test]
+fn restarted_process_succeeds_its_former_run_at_once() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut store = Store::default();
+    let mut former = LeaseKeeper::new("vm-1/7".into(), LENGTH).on_vm("vm-1".into());
+    store.run(&mut former, at(0), false);
+    let mut next = LeaseKeeper::new("vm-1/8".into(), LENGTH).on_vm("vm-1".into());
+    let mut other = LeaseKeeper::new("vm-2/3".into(), LENGTH).on_vm("vm-2".into());
+    store.run(&mut other, at(1), false);
+    assert_eq!(other.fence(at(1)), None);
+    store.run(&mut next, at(1), false);
+    assert_eq!(next.fence(at(1)), Some(2));
+}
