--- a/crates/duties/src/scaler.rs
+++ b/crates/duties/src/scaler.rs
@@ -44,8 +44,8 @@
         Self {
             busy: 0.85,
             reserve: 1.6,
-            insured: 0.6,
-            unknown: 0.8,
+            insured: 0.8,
+            unknown: 0.65,
         }
     }
 }
@@ -107,8 +107,8 @@
     refused: HashMap<(Name, bool), Instant>,
     surplus: HashMap<bool, Instant>,
     held: Vec<(Instant, u32)>,
-    /// Need before there was any demand, from the engines first seen.
-    unknown: Option<u32>,
+    /// Need before there was any demand, from the on-demand engines seen.
+    unknown: u32,
 }
 
 impl Scaler {
@@ -136,7 +136,16 @@
         let need = self.need(service.fleet, busy, now);
         let planned = self.spot(service, need, now);
         let total = self.on_demand_total(service, need, busy > 0.0, now);
-        let demand = self.on_demand(service, &planned, total);
+        let held: Numbers = planned
+            .iter()
+            .map(|(domain, count)| {
+                (
+                    domain.clone(),
+                    self.obtainable(service, domain, *count, now),
+                )
+            })
+            .collect();
+        let demand = self.on_demand(service, &held, total);
         let spot = within_bounds(service, planned, &demand);
         let mut orders = Vec::new();
         for domain in service.domains {
@@ -158,12 +167,18 @@
 
     /// Engines that are needed now, or were a short time ago.
     fn need(&mut self, fleet: &Fleet, busy: f64, now: Instant) -> u32 {
-        let present: u32 = fleet.values().sum();
         let need = if busy > 0.0 {
             (busy / self.policy.busy).ceil() as u32
         } else {
+            // Engines register one after the other, and are then replaced.
+            let present: u32 = fleet
+                .iter()
+                .filter(|((_, spot), _)| !spot)
+                .map(|(_, count)| count)
+                .sum();
             let unknown = (f64::from(present) * self.policy.unknown).ceil() as u32;
-            *self.unknown.get_or_insert(unknown)
+            self.unknown = self.unknown.max(unknown);
+            self.unknown
         };
         self.held
             .retain(|(at, _)| now.saturating_duration_since(*at) < NEED_HELD);
@@ -320,6 +335,20 @@
         }
     }
 
+    /// Reclaimable engines that a failure domain will have: where they are
+    /// refused, only those that run.
+    fn obtainable(&self, service: &Scaled<'_>, domain: &Name, planned: u32, now: Instant) -> u32 {
+        let refused = self
+            .refused
+            .get(&(domain.clone(), true))
+            .is_some_and(|at| now.saturating_duration_since(*at) < SCARCE);
+        if refused {
+            planned.min(service.ready(domain, true))
+        } else {
+            planned
+        }
+    }
+
     fn is_scarce(&self, now: Instant) -> bool {
         self.refused
             .iter()
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -300,10 +300,13 @@
             200..300 => scaler.accepted(order, now),
             _ => scaler.refused(order, now),
         }
+        let key = (order.domain.clone(), order.spot);
+        let ready = fleet(&self.node, &service.name).get(&key).copied();
+        let busy = self.node.demand.borrow_mut().engines(&service.name, now);
         log::info!(
             target: "lycheehaven",
             service = &*service.name, domain = &*order.domain, spot = order.spot,
-            desired = order.desired, status = status;
+            desired = order.desired, ready = ready.unwrap_or(0), busy = busy, status = status;
             "engines ordered"
         );
     }
