--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -17,5 +17,6 @@
 pub use scaler::Scaled;
 pub use scaler::Scaler;
 pub use usage::Counts;
+pub use usage::RunCounts;
 pub use usage::Usage;
 pub use wall::WallAgreement;
--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -23,6 +23,17 @@
     pub counts: HashMap<Name, u64>,
 }
 
+/// What one run of an entry counted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RunCounts {
+    /// Entry.
+    pub entry: Name,
+    /// Run of its process.
+    pub incarnation: u64,
+    /// Its latest windows.
+    pub windows: Vec<Counts>,
+}
+
 type Windows = BTreeMap<u64, HashMap<Name, u64>>;
 
 /// Counts of this entry and its peers. Each entry tells its own counts in
@@ -65,22 +76,37 @@
 
     /// The latest counts of this entry, for peers.
     pub fn report(&self) -> Vec<Counts> {
-        self.own
+        latest(&self.own)
+    }
+
+    /// The latest counts of every known run, this one's under `me`.
+    pub fn snapshot(&self, me: &Name, incarnation: u64) -> Vec<RunCounts> {
+        let own = RunCounts {
+            entry: me.clone(),
+            incarnation,
+            windows: latest(&self.own),
+        };
+        let peers = self
+            .peers
             .iter()
-            .rev()
-            .take(TOLD)
-            .map(|(window, counts)| Counts {
-                window: *window,
-                counts: counts.clone(),
-            })
-            .collect()
+            .map(|((entry, incarnation), windows)| RunCounts {
+                entry: entry.clone(),
+                incarnation: *incarnation,
+                windows: latest(windows),
+            });
+        peers.chain([own]).collect()
     }
 
-    /// Takes over the counts of one run of a peer.
+    /// Takes over the counts of one run of a peer. Counts only grow, so an
+    /// older report changes nothing.
     pub fn hear(&mut self, peer: &Name, incarnation: u64, reports: Vec<Counts>) {
         let windows = self.peers.entry((peer.clone(), incarnation)).or_default();
         for report in reports {
-            windows.insert(report.window, report.counts);
+            let known = windows.entry(report.window).or_default();
+            for (workspace, count) in report.counts {
+                let held = known.entry(workspace).or_insert(0);
+                *held = (*held).max(count);
+            }
         }
         trim(windows);
         let newest = self.newest();
@@ -114,6 +140,18 @@
     }
 }
 
+fn latest(windows: &Windows) -> Vec<Counts> {
+    windows
+        .iter()
+        .rev()
+        .take(TOLD)
+        .map(|(window, counts)| Counts {
+            window: *window,
+            counts: counts.clone(),
+        })
+        .collect()
+}
+
 fn trim(windows: &mut Windows) {
     while windows.len() > KEPT {
         windows.pop_first();
--- a/crates/duties/tests/usage.rs
+++ b/crates/duties/tests/usage.rs
@@ -32,6 +32,32 @@
     assert_eq!(usage.total(0).get("w"), Some(&4));
 }
 
+#[test]
+fn record_read_after_a_restart_of_all_counts_once() {
+    let mut holder = Usage::new(WINDOW);
+    let mut peer = Usage::new(WINDOW);
+    holder.count(&"w".into(), 1_000);
+    peer.count(&"w".into(), 2_000);
+    holder.hear(&"p".into(), 1, peer.report());
+    let record = holder.snapshot(&"h".into(), 1);
+    peer.count(&"w".into(), 3_000);
+    holder.hear(&"p".into(), 1, peer.report());
+
+    let mut restarted = Usage::new(WINDOW);
+    for _ in 0..2 {
+        for run in record.clone() {
+            restarted.hear(&run.entry, run.incarnation, run.windows);
+        }
+    }
+    restarted.count(&"w".into(), 4_000);
+    assert_eq!(restarted.total(0).get("w"), Some(&3));
+    // An entry that kept running knows more than the record.
+    for run in record.into_iter().filter(|run| &*run.entry != "h") {
+        holder.hear(&run.entry, run.incarnation, run.windows);
+    }
+    assert_eq!(holder.total(0).get("w"), Some(&3));
+}
+
 #[test]
 fn jumped_clock_is_outvoted() {
     let now = Instant::now();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use lycheehaven_net::serve;
 use lycheehaven_types::SystemClock;
 
+use crate::counts;
 use crate::duty;
 use crate::evacuate;
 use crate::exchange;
@@ -27,7 +28,6 @@
 use crate::node::pause;
 use crate::node::spawn;
 use crate::settings::Settings;
-use crate::spending;
 use crate::watch;
 
 const SIGHUP: i32 = 1;
@@ -79,7 +79,7 @@
     spawn(watch::follow_config(node.clone()));
     spawn(watch::follow_servers(node.clone()));
     spawn(watch::follow_members(node.clone()));
-    spawn(spending::load(node.clone()));
+    spawn(counts::load(node.clone()));
     spawn(exchange::register(node.clone()));
     spawn(exchange::send(node.clone(), peers.clone()));
     spawn(exchange::receive(node.clone(), peers));
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -17,13 +17,13 @@
 use lycheehaven_types::Name;
 use serde::Deserialize;
 
+use crate::counts;
 use crate::exchange::MEMBERS;
 use crate::lease::LeaseHandle;
 use crate::node::Node;
 use crate::node::pause;
 use crate::settings::CloudSettings;
 use crate::settings::Duty;
-use crate::spending;
 use crate::store::Written;
 
 /// Kind and name of the last usage report in the store.
@@ -47,8 +47,8 @@
 /// Time after a restart until the demand of running callers is known.
 const SETTLE_RESTART: Duration = Duration::from_millis(4000);
 
-/// Interval at which the spending of workspaces near their limit is written.
-const KEEP_SPENDING: Duration = Duration::from_millis(1000);
+/// Interval at which the counts are written.
+const KEEP_COUNTS: Duration = Duration::from_millis(1000);
 
 /// Silence after which a peer's entry is removed from the store.
 const MEMBER_GONE: Duration = Duration::from_secs(15);
@@ -111,7 +111,7 @@
         if self.cloud.duties.contains(&Duty::Scaling) {
             self.order_engines().await;
         }
-        self.keep_spending().await;
+        self.keep_counts().await;
         self.remove_silent().await;
     }
 
@@ -311,25 +311,21 @@
         );
     }
 
-    /// Writes down what workspaces near their limit have spent, so that a
-    /// restart of all entries does not forget it.
-    async fn keep_spending(&mut self) {
+    /// Writes down what the entries have counted, so that a restart of all of
+    /// them does not forget it.
+    async fn keep_counts(&mut self) {
         let node = &self.node;
         let now = node.now();
         let recent = self
             .kept
-            .is_some_and(|at| now.saturating_duration_since(at) < KEEP_SPENDING);
+            .is_some_and(|at| now.saturating_duration_since(at) < KEEP_COUNTS);
         if recent {
             return;
         }
-        let spent = spending::near_limit(node);
-        if spent.is_empty() {
-            return;
-        }
         self.kept = Some(now);
-        if let Err(cause) = spending::write(node, spent).await {
+        if let Err(cause) = counts::write(node).await {
             let cause = cause.to_string();
-            log::info!(target: "lycheehaven", cause = cause.as_str(); "the spending can't be written");
+            log::info!(target: "lycheehaven", cause = cause.as_str(); "the counts can't be written");
         }
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,10 +28,10 @@
 use lycheehaven_types::Name;
 
 use crate::attempt::Job;
+use crate::counts;
 use crate::node::Node;
 use crate::node::OpenRequest;
 use crate::serve;
-use crate::spending;
 
 /// Longest wait for a body, whatever the limits say.
 const BODY_WAIT: Duration = Duration::from_secs(10);
@@ -212,7 +212,7 @@
     }
     let now = node.now();
     let cost = request_cost(workspace, head);
-    let limit = spending::limit(node, workspace);
+    let limit = counts::limit(node, workspace);
     let members = node.member_names();
     node.allotments
         .borrow_mut()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`duty`] reports usage and orders engines while this entry holds the lease.
 
 mod attempt;
+mod counts;
 mod daemon;
 mod duty;
 mod evacuate;
@@ -20,7 +21,6 @@
 mod relay;
 mod serve;
 mod settings;
-mod spending;
 mod store;
 mod watch;
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -30,6 +30,13 @@
 /// call to the store is paid for.
 const GATHER_MS: u64 = 400;
 
+/// Further time that changes gather for each entry, as each of them calls the
+/// store; entries tell each other of leaving upstreams meanwhile.
+const GATHER_MEMBER_MS: u64 = 8;
+
+/// Longest time that changes gather.
+const GATHER_MOST_MS: u64 = 1100;
+
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 150;
 
@@ -97,8 +104,8 @@
                     node.belief.borrow_mut().prove(sent);
                 }
                 revision = next;
-                if changed && topic == Topic::Servers {
-                    pause(GATHER_MS).await;
+                if changed && topic != Topic::Config {
+                    pause(gather_ms(&node)).await;
                 }
             }
             Err(cause) => {
@@ -109,6 +116,12 @@
     }
 }
 
+/// Time that changes gather, in milliseconds.
+fn gather_ms(node: &Node) -> u64 {
+    let members = node.members.borrow().count() as u64;
+    (GATHER_MS + members * GATHER_MEMBER_MS).min(GATHER_MOST_MS)
+}
+
 /// Whether calls fail at present.
 #[derive(Debug, Default)]
 struct Lost {
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -6,9 +6,11 @@
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use lycheehaven_types::Sliding;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Silence after which a peer is taken to spend its even share unseen.
-const SILENT: Duration = Duration::from_millis(1500);
+const SILENT: Duration = Duration::from_millis(900);
 
 /// What a workspace may spend in one window.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -19,6 +21,17 @@
     pub slack: f64,
 }
 
+/// What one run of an entry spent in a window.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RunSpending {
+    /// Entry.
+    pub entry: Name,
+    /// Run of its process.
+    pub incarnation: u64,
+    /// Units by workspace.
+    pub spent: Vec<(Name, f64)>,
+}
+
 #[derive(Debug)]
 struct PeerSpend {
     incarnation: u64,
@@ -64,6 +77,15 @@
             spent: reported,
         };
         match self.peers.get(peer) {
+            Some(known) if known.heard > now => {
+                // A record from before what is known; it matters only if it is
+                // of an earlier run.
+                if known.incarnation != incarnation {
+                    let earlier = format!("{peer}/{incarnation}");
+                    self.peers.insert(earlier.into(), entry);
+                }
+                return;
+            }
             // A restarted peer starts at zero; what it spent before still
             // counts until the window has passed.
             Some(known) if known.incarnation != incarnation => {
@@ -82,6 +104,27 @@
             .retain(|_, known| now.saturating_duration_since(known.heard) < window);
     }
 
+    /// What each run of an entry spent in the last window, this one's under
+    /// `me`.
+    pub fn snapshot(&mut self, me: &Name, incarnation: u64, now: Instant) -> Vec<RunSpending> {
+        let own = RunSpending {
+            entry: me.clone(),
+            incarnation,
+            spent: self.report(now),
+        };
+        let window = self.window;
+        let peers = self
+            .peers
+            .iter()
+            .filter(|(_, known)| now.saturating_duration_since(known.heard) < window)
+            .map(|(entry, known)| RunSpending {
+                entry: entry.clone(),
+                incarnation: known.incarnation,
+                spent: known.spent.clone().into_iter().collect(),
+            });
+        peers.chain([own]).collect()
+    }
+
     /// What each workspace spent here in the last window.
     pub fn report(&mut self, now: Instant) -> Vec<(Name, f64)> {
         self.own
@@ -91,20 +134,6 @@
             .collect()
     }
 
-    /// What a workspace spent in the last window here and at the peers that
-    /// were heard in it.
-    pub fn total(&mut self, workspace: &Name, now: Instant) -> f64 {
-        let own = self.own.get_mut(workspace).map_or(0.0, |sum| sum.sum(now));
-        let window = self.window;
-        let peers: f64 = self
-            .peers
-            .values()
-            .filter(|known| now.saturating_duration_since(known.heard) < window)
-            .filter_map(|known| known.spent.get(workspace))
-            .sum();
-        own + peers
-    }
-
     /// Spends `cost` if the limit allows it. `members` are all entries that may
     /// be running, this one included.
     ///
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub use allotment::Allotments;
 pub use allotment::Limit;
+pub use allotment::RunSpending;
 pub use budget::BudgetTerms;
 pub use budget::RetryBudget;
 pub use suspects::Suspects;
--- a/crates/guard/tests/allotments.rs
+++ b/crates/guard/tests/allotments.rs
@@ -139,6 +139,40 @@
     );
 }
 
+#[test]
+fn record_read_after_a_restart_counts_once() {
+    let names: Vec<Name> = vec!["a".into(), "b".into()];
+    let start = Instant::now();
+    let mut holder = Allotments::new(WINDOW);
+    let mut peer = Allotments::new(WINDOW);
+    assert!(
+        holder
+            .admit(&"w".into(), LIMIT, 3000.0, &names, start)
+            .is_ok()
+    );
+    assert!(peer.admit(&"w".into(), LIMIT, 500.0, &names, start).is_ok());
+    holder.hear(&names[1], 1, &peer.report(start), start);
+    let record = holder.snapshot(&names[0], 1, start);
+
+    let later = start + Duration::from_secs(1);
+    let mut restarted = Allotments::new(WINDOW);
+    for run in record {
+        restarted.hear(&run.entry, run.incarnation, &run.spent, start);
+    }
+    restarted.hear(&names[1], 1, &peer.report(later), later);
+    // 3500 are spent; the silent peer's share of 3500 is set aside for "a".
+    assert!(
+        restarted
+            .admit(&"w".into(), LIMIT, 2900.0, &names, later)
+            .is_ok()
+    );
+    assert!(
+        restarted
+            .admit(&"w".into(), LIMIT, 200.0, &names, later)
+            .is_err()
+    );
+}
+
 proptest! {
     /// With entries that are cut off at any time, the sum over all of them
     /// exceeds the limit only by what is spent between two reports, and while
@@ -160,8 +194,8 @@
             }
         }
         // Five entries ask for at most 300 in a step; a peer is taken to be
-        // silent after 1.5 s, that is 8 steps.
-        let unseen = 8.0 * 300.0;
+        // silent after 0.9 s, that is 5 steps.
+        let unseen = 6.0 * 300.0;
         prop_assert!(fleet.most() <= LIMIT.units + unseen, "spent {}", fleet.most());
     }
 }
