Write bounded log lines without blocking, and tell more of a refusal

Change: an appender of our own for log4rs that drops what does not fit at once and above 200 lines of a severity a second, and tells how many; refusals name workspace and units; state gauges; SIGHUP checks the settings and tells.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -6,11 +6,6 @@
 use compio::net::TcpListener;
 use eyre::Context;
 use eyre::Result;
-use log::LevelFilter;
-use log4rs::append::console::ConsoleAppender;
-use log4rs::config::Appender;
-use log4rs::config::Root;
-use log4rs::encode::json::JsonEncoder;
 use lycheehaven_config::Settings;
 use lycheehaven_net::ServerLimits;
 use lycheehaven_net::serve;
@@ -33,19 +28,6 @@
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
-/// Starts logging as JSON lines to standard output.
-pub fn start_logging(level: LevelFilter) -> Result<()> {
-    let appender = ConsoleAppender::builder()
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
-    let config = log4rs::Config::builder()
-        .appender(Appender::builder().build("out", Box::new(appender)))
-        .build(Root::builder().appender("out").build(level))
-        .wrap_err("building the log configuration")?;
-    log4rs::init_config(config).wrap_err("starting logging")?;
-    Ok(())
-}
-
 /// Runs an entry until it is told to stop and has handed its requests over.
 pub async fn run(settings: Settings) -> Result<()> {
     let front = bind(settings.listen).await.wrap_err("listen")?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,4 +39,3 @@
 mod wire;
 
 pub use daemon::run;
-pub use daemon::start_logging;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,8 @@
 //! Start, loops and end of a gateway.
 
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -55,7 +57,7 @@
 const GRACE_PART: f64 = 0.95;
 
 /// Runs a gateway until it is told to stop and its requests have ended.
-pub async fn run(settings: Settings) -> Result<()> {
+pub async fn run(settings: Settings, file: PathBuf) -> Result<()> {
     let front = bind(settings.listen).await.wrap_err("listen")?;
     let ready = bind(settings.ready_listen).await.wrap_err("ready_listen")?;
     let metrics = bind(settings.metrics_listen)
@@ -75,7 +77,7 @@
         "started"
     );
     spawn_servers(&node, front, ready, metrics);
-    spawn_signals(&node);
+    spawn_signals(&node, file);
     spawn(watch::follow_config(node.clone()));
     spawn(watch::follow_servers(node.clone()));
     spawn(watch::follow_members(node.clone()));
@@ -128,7 +130,7 @@
     let handler = node.clone();
     let token = node.stop.clone();
     let answer = move |_: Request<Incoming>| {
-        let text = handler.metrics.text();
+        let text = handler.metrics.text(&handler.gauges());
         async move { bytes_response(200, "text/plain; version=1.0.0", text) }
     };
     spawn(serve(metrics, ServerLimits::default(), token, answer));
@@ -142,9 +144,10 @@
     response
 }
 
-fn spawn_signals(node: &Rc<Node>) {
+fn spawn_signals(node: &Rc<Node>, file: PathBuf) {
     for signal in [SIGHUP, SIGINT, SIGTERM] {
         let node = node.clone();
+        let file = file.clone();
         spawn(async move {
             loop {
                 if let Err(cause) = compio::signal::unix::signal(signal).await {
@@ -152,7 +155,9 @@
                     return;
                 }
                 log::info!(target: "lycheehaven", signal = signal; "signal received");
-                if signal != SIGHUP {
+                if signal == SIGHUP {
+                    check_settings(&node.settings, &file);
+                } else {
                     node.stopping.set(true);
                     node.stop_asked.cancel();
                 }
@@ -161,6 +166,23 @@
     }
 }
 
+/// Reads the settings again. The platform hands a process its settings at each
+/// start; until then the present ones stay in force.
+fn check_settings(present: &Settings, file: &Path) {
+    match Settings::load(file) {
+        Ok(settings) if settings == *present => {
+            log::info!(target: "lycheehaven", "the settings are unchanged");
+        }
+        Ok(_) => {
+            log::warn!(target: "lycheehaven", "the settings have changed; they take effect at the next start");
+        }
+        Err(cause) => {
+            let cause = cause.to_string();
+            log::error!(target: "lycheehaven", cause = cause.as_str(); "the new settings are invalid; keeping the present ones");
+        }
+    }
+}
+
 /// Forgets what is outdated, at intervals.
 async fn sweep(node: Rc<Node>) {
     let cache_age = Duration::from_secs_f64(node.settings.bounds.again_s * 3.0);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -217,12 +217,12 @@
     node.allotments
         .borrow_mut()
         .admit(&workspace.name, limit, cost, &members, now)
-        .map_err(|wait| {
-            Failure::new(
-                ErrorKind::RateLimited,
-                "the workspace's allotment is used up",
-            )
-            .retry_after(wait)
+        .map_err(|exceeded| {
+            let message = format!(
+                "the allotment of workspace {} is used up: {:.0} units here and {:.0} elsewhere of {:.0}",
+                workspace.name, exceeded.own, exceeded.elsewhere, limit.units
+            );
+            Failure::new(ErrorKind::RateLimited, message).retry_after(exceeded.wait)
         })
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
@@ -21,6 +22,11 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NameLabel {
+    name: &'static str,
+}
+
 /// All metrics of an entry.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -29,6 +35,8 @@
     latency: Histogram,
     pub(crate) sends: Counter,
     pub(crate) connections: Counter,
+    dropped_lines: Gauge,
+    state: Family<NameLabel, Gauge>,
 }
 
 impl Metrics {
@@ -40,6 +48,8 @@
             latency: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
             sends: Counter::default(),
             connections: Counter::default(),
+            dropped_lines: Gauge::default(),
+            state: Family::default(),
         };
         metrics.registered()
     }
@@ -67,6 +77,12 @@
             "Connections opened to upstreams",
             self.connections.clone(),
         );
+        registry.register(
+            "dropped_log_lines",
+            "Log lines that were dropped since the start",
+            self.dropped_lines.clone(),
+        );
+        registry.register("state", "Present state of this entry", self.state.clone());
         self
     }
 
@@ -83,7 +99,12 @@
     }
 
     /// All metrics in the text format.
-    pub(crate) fn text(&self) -> String {
+    pub(crate) fn text(&self, gauges: &[(&'static str, i64)]) -> String {
+        let dropped = lycheehaven_logs::dropped_lines();
+        self.dropped_lines.set(dropped as i64);
+        for (name, value) in gauges {
+            self.state.get_or_create(&NameLabel { name }).set(*value);
+        }
         let mut text = String::new();
         if let Err(cause) = encode(&mut text, &self.registry) {
             log::error!(target: "lycheehaven", cause = cause.to_string().as_str(); "metrics can't be encoded");
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -133,6 +133,31 @@
         self.members.borrow().is_loaded() && self.spending_known.get()
     }
 
+    /// Present figures for the metrics.
+    pub(crate) fn gauges(&self) -> Vec<(&'static str, i64)> {
+        let now = self.now();
+        let age = self.belief.borrow().age(now);
+        let directory = self.directory.borrow();
+        let ready = directory.all().filter(|up| directory.usable(up)).count();
+        let members = self.members.borrow();
+        vec![
+            (
+                "config_age_ms",
+                age.map_or(-1, |age| age.as_millis() as i64),
+            ),
+            ("holds_lease", i64::from(self.holds_lease.get())),
+            ("open_requests", self.open.get() as i64),
+            ("ready", i64::from(self.is_ready())),
+            ("upstreams_leaving", directory.leaving().count() as i64),
+            ("upstreams_ready", ready as i64),
+            ("entries", members.count() as i64),
+            (
+                "entries_heard",
+                members.heard(&self.settings.name, now) as i64,
+            ),
+        ]
+    }
+
     /// Milliseconds since the Unix epoch, as the entries agree.
     pub(crate) fn wall_millis(&self) -> i64 {
         self.wall.borrow().millis(self.clock.wall(), self.now())
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 
 /// Settings of one process.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Settings {
     /// Name of this entry, unique among all entries.
     pub name: Name,
@@ -44,14 +44,14 @@
 }
 
 /// The platform's object store.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct StoreSettings {
     /// Address.
     pub address: SocketAddr,
 }
 
 /// The cloud.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct CloudSettings {
     /// Address.
     pub address: SocketAddr,
@@ -75,7 +75,7 @@
 }
 
 /// Bounds of the deployment, in milliseconds where nothing else is said.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct Bounds {
     /// Whether a key that was taken away must stop working in time on entries
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -21,6 +21,17 @@
     pub slack: f64,
 }
 
+/// Why a cost was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Exceeded {
+    /// Units spent here in the last window.
+    pub own: f64,
+    /// Units spent at peers or set aside for silent ones.
+    pub elsewhere: f64,
+    /// Time after which the cost may be admitted.
+    pub wait: Duration,
+}
+
 /// What one run of an entry spent in a window.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunSpending {
@@ -138,7 +149,7 @@
     /// be running, this one included.
     ///
     /// # Errors
-    /// The time after which it may be allowed.
+    /// What stands against it, and the time after which it may be allowed.
     pub fn admit(
         &mut self,
         workspace: &Name,
@@ -146,7 +157,7 @@
         cost: f64,
         members: &[Name],
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Exceeded> {
         let elsewhere = self.elsewhere(workspace, limit, members, now);
         let window = self.window;
         let own = self
@@ -156,7 +167,11 @@
         let total = own.sum(now) + elsewhere + cost;
         let over = total - (limit.units + limit.slack);
         if over > 0.0 {
-            return Err(own.frees(over, now));
+            return Err(Exceeded {
+                own: own.sum(now),
+                elsewhere,
+                wait: own.frees(over, now),
+            });
         }
         own.add(cost, now);
         Ok(())
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -10,6 +10,7 @@
 mod suspects;
 
 pub use allotment::Allotments;
+pub use allotment::Exceeded;
 pub use allotment::Limit;
 pub use allotment::RunSpending;
 pub use budget::BudgetTerms;
--- a/crates/guard/tests/allotments.rs
+++ b/crates/guard/tests/allotments.rs
@@ -111,10 +111,11 @@
     let mut fleet = Fleet::new(1);
     assert!(fleet.spend(0, 6900.0, 0));
     let now = fleet.at(1000);
-    let wait = fleet.entries[0]
+    let exceeded = fleet.entries[0]
         .admit(&"w".into(), LIMIT, 500.0, &fleet.names, now)
         .expect_err("over the limit");
-    assert_eq!(wait, Duration::from_secs(7));
+    assert_eq!(exceeded.wait, Duration::from_secs(7));
+    assert_eq!((exceeded.own, exceeded.elsewhere), (6900.0, 0.0));
 }
 
 #[test]
--- /dev/null
+++ b/crates/logs/src/appender.rs
@@ -0,0 +1,88 @@
+//! The appender.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use log::Level;
+use log::Record;
+use log4rs::append::Append;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::poll;
+
+use crate::encode::encode;
+use crate::rate::LineBudget;
+
+/// Longest line; a pipe takes lines up to this length whole or not at all.
+const MAX_LINE: usize = 4096;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that were dropped since the start.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+#[derive(Debug, Default)]
+struct State {
+    budgets: [LineBudget; 5],
+    /// Dropped lines that have not been told of.
+    untold: u64,
+}
+
+/// Writes lines to standard output as long as it takes them at once.
+#[derive(Debug)]
+pub(crate) struct LineAppender {
+    state: Mutex<State>,
+}
+
+impl LineAppender {
+    pub(crate) fn new() -> Self {
+        Self {
+            state: Mutex::new(State::default()),
+        }
+    }
+}
+
+impl Append for LineAppender {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = &mut state.budgets[level_index(record.level())];
+        let written = budget.take(Instant::now()) && {
+            let mut line = encode(record, SystemTime::now(), state.untold);
+            if line.len() > MAX_LINE {
+                line.truncate(MAX_LINE - 1);
+                line.push(b'\n');
+            }
+            write(&line)
+        };
+        if written {
+            state.untold = 0;
+        } else {
+            state.untold += 1;
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+fn level_index(level: Level) -> usize {
+    level as usize - 1
+}
+
+/// Writes a line if the reader has room for it.
+fn write(line: &[u8]) -> bool {
+    let out = rustix::stdio::stdout();
+    let mut ready = [PollFd::new(&out, PollFlags::OUT)];
+    let at_once = Timespec::try_from(Duration::ZERO).ok();
+    let room = poll(&mut ready, at_once.as_ref()).is_ok_and(|count| count > 0);
+    room && rustix::io::write(out, line).is_ok_and(|length| length == line.len())
+}
--- /dev/null
+++ b/crates/logs/src/encode.rs
@@ -0,0 +1,46 @@
+//! One record as a JSON line.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use log::Record;
+use log::kv::Error;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+use serde_json::Map;
+use serde_json::json;
+
+/// Builds the line for `record`, with its end: the time in seconds since the
+/// Unix epoch, level, message, and attributes as text. `dropped` lines before
+/// it are told of.
+pub fn encode(record: &Record<'_>, wall: SystemTime, dropped: u64) -> Vec<u8> {
+    let seconds = wall
+        .duration_since(UNIX_EPOCH)
+        .map_or(0.0, |time| time.as_millis() as f64 / 1000.0);
+    let mut attributes = Attributes(Map::new());
+    // The visitor refuses nothing.
+    let visited = record.key_values().visit(&mut attributes);
+    debug_assert!(visited.is_ok());
+    let mut line = json!({
+        "time": seconds,
+        "level": record.level().as_str(),
+        "message": record.args().to_string(),
+        "attributes": attributes.0,
+    });
+    if dropped > 0 {
+        line["dropped_before"] = dropped.into();
+    }
+    let mut bytes = line.to_string().into_bytes();
+    bytes.push(b'\n');
+    bytes
+}
+
+struct Attributes(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Attributes {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.0.insert(key.to_string(), value.to_string().into());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/logs/src/lib.rs
@@ -0,0 +1,35 @@
+//! Structured log lines that never block the event loop.
+//!
+//! [`start`] installs a log4rs appender that writes JSON lines to standard
+//! output without waiting for the reader. Lines above [`LINES_PER_SECOND`] of
+//! one severity, and lines for which a pipe has no room, are dropped and
+//! counted; the next line that is written tells how many were.
+
+mod appender;
+mod encode;
+mod rate;
+
+pub use appender::dropped_lines;
+pub use encode::encode;
+pub use rate::LINES_PER_SECOND;
+pub use rate::LineBudget;
+
+use eyre::Result;
+use eyre::WrapErr;
+use log::LevelFilter;
+use log4rs::config::Appender;
+use log4rs::config::Root;
+
+/// Starts logging to standard output.
+///
+/// # Errors
+/// If logging was started before.
+pub fn start(level: LevelFilter) -> Result<()> {
+    let appender = appender::LineAppender::new();
+    let config = log4rs::Config::builder()
+        .appender(Appender::builder().build("out", Box::new(appender)))
+        .build(Root::builder().appender("out").build(level))
+        .wrap_err("building the log configuration")?;
+    log4rs::init_config(config).wrap_err("starting logging")?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/logs/tests/lines.rs
@@ -0,0 +1,44 @@
+//! Encoding and bounds of log lines.
+
+use std::time::Duration;
+use std::time::Instant;
+use std::time::UNIX_EPOCH;
+
+use log::Level;
+use log::Record;
+use lycheehaven_logs::LINES_PER_SECOND;
+use lycheehaven_logs::LineBudget;
+use lycheehaven_logs::encode;
+use serde_json::Value;
+
+#[test]
+fn line_holds_message_and_attributes() {
+    let pairs = [("request", "r1"), ("cause", "quote \" and\nnewline")];
+    let wall = UNIX_EPOCH + Duration::from_millis(1_500);
+    let line = encode(
+        &Record::builder()
+            .level(Level::Info)
+            .args(format_args!("request failed"))
+            .key_values(&pairs)
+            .build(),
+        wall,
+        3,
+    );
+    assert_eq!(line.iter().filter(|byte| **byte == b'\n').count(), 1);
+    let value: Value = serde_json::from_slice(&line).expect("a JSON line");
+    assert_eq!(value["time"], 1.5);
+    assert_eq!(value["level"], "INFO");
+    assert_eq!(value["message"], "request failed");
+    assert_eq!(value["attributes"]["request"], "r1");
+    assert_eq!(value["attributes"]["cause"], "quote \" and\nnewline");
+    assert_eq!(value["dropped_before"], 3);
+}
+
+#[test]
+fn lines_of_a_second_are_bounded() {
+    let start = Instant::now();
+    let mut budget = LineBudget::new();
+    let taken = (0..1000).filter(|_| budget.take(start)).count();
+    assert_eq!(taken as u32, LINES_PER_SECOND);
+    assert!(budget.take(start + Duration::from_secs(1)));
+}
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -7,7 +7,7 @@
 /// Runs an entry, in a process that an example started of itself.
 pub(crate) fn run_entry(file: &Path) {
     let settings = Settings::load(file).expect("generated settings are valid");
-    lycheehaven_entry::start_logging(log::LevelFilter::Info).expect("logging starts");
+    lycheehaven_logs::start(log::LevelFilter::Info).expect("logging starts");
     let runtime = compio::runtime::Runtime::new().expect("event loop can be created");
     runtime
         .block_on(lycheehaven_entry::run(settings))
--- a/src/bin/lycheehaven.rs
+++ b/src/bin/lycheehaven.rs
@@ -52,7 +52,7 @@
         return print(&format!("{file}: settings are valid"));
     }
     let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
-    finish(run(level, lycheehaven_gateway::run(settings)))
+    finish(run(level, lycheehaven_gateway::run(settings, file.into())))
 }
 
 fn entry(file: &str, check: bool) -> ExitCode {
@@ -81,7 +81,7 @@
 }
 
 fn run(level: log::LevelFilter, daemon: impl Future<Output = Result<()>>) -> Result<()> {
-    lycheehaven_entry::start_logging(level)?;
+    lycheehaven_logs::start(level)?;
     let runtime = compio::runtime::Runtime::new().wrap_err("creating the event loop")?;
     runtime.block_on(daemon)
 }
