Reset connections that are given up

Ruled out: a lease relied on too long; the old holder logged that it lost it 1.8 s before the next one took it. Change: duties and moves use a connection of their own that is reset when it is given up, as are connections to upstreams.

--- a/crates/channels/src/channel.rs
+++ b/crates/channels/src/channel.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::fmt;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,11 +44,11 @@
 
 impl std::error::Error for SendError {}
 
-/// A connection to an upstream. Dropping it closes the connection at once,
-/// which tells the upstream to stop working on the request.
+/// A connection to an upstream. Dropping it resets the connection at once,
+/// which tells the upstream to stop working on the request, and keeps what the
+/// network still holds of the request from being delivered later.
 pub struct Channel {
     sender: SendRequest<Body>,
-    stream: TcpStream,
     _driver: JoinHandle<()>,
     _count: OpenCount,
 }
@@ -72,7 +71,7 @@
             Err(_) => return Err("connecting timed out".into()),
         };
         watch_silence(&stream).map_err(|cause| format!("setting socket options: {cause}"))?;
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream.clone()))
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
             .await
             .map_err(|cause| cause.to_string())?;
         let driver = compio::runtime::spawn(async move {
@@ -81,7 +80,6 @@
         });
         Ok(Self {
             sender,
-            stream,
             _driver: driver,
             _count: count,
         })
@@ -112,14 +110,6 @@
     }
 }
 
-impl Drop for Channel {
-    fn drop(&mut self) {
-        // The driver's task may be collected later than the socket should be
-        // closed. A socket that is closed already gives an error.
-        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
-    }
-}
-
 struct OpenCount(Rc<Cell<usize>>);
 
 impl OpenCount {
@@ -139,6 +129,7 @@
 fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(SILENCE))?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE)
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hyper::Method;
 use lycheehaven_adapter::cloud;
 use lycheehaven_catalog::Service;
 use lycheehaven_duties::Counts;
@@ -12,11 +11,11 @@
 use lycheehaven_duties::Order;
 use lycheehaven_duties::Scaled;
 use lycheehaven_duties::Scaler;
-use lycheehaven_net::Caller;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use serde::Deserialize;
 
+use crate::call::post_once;
 use crate::counts;
 use crate::exchange::MEMBERS;
 use crate::lease::LeaseHandle;
@@ -59,7 +58,6 @@
         return;
     };
     let mut duties = Duties {
-        caller: Caller::new(),
         cloud,
         lease,
         reported: None,
@@ -84,7 +82,6 @@
 
 struct Duties {
     node: Rc<Node>,
-    caller: Caller,
     cloud: CloudSettings,
     lease: Rc<LeaseHandle>,
     reported: Option<Reported>,
@@ -229,21 +226,10 @@
     async fn call(&self, path: &str, body: Vec<u8>) -> Option<u16> {
         let fence = self.lease.fence()?;
         let headers = cloud::holder_headers(&self.node.settings.name, fence);
-        let result = self
-            .caller
-            .call_with(
-                Method::POST,
-                self.cloud.address,
-                path,
-                &headers,
-                body,
-                CLOUD_WAIT,
-            )
-            .await;
+        let result = post_once(self.cloud.address, path, &headers, body, CLOUD_WAIT).await;
         match result {
             Ok(reply) => Some(reply.status),
             Err(cause) => {
-                let cause = cause.to_string();
                 log::warn!(target: "lycheehaven", path = path, cause = cause.as_str(); "the cloud gave no answer");
                 None
             }
--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -6,13 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hyper::Method;
 use lycheehaven_adapter::engine;
 use lycheehaven_adapter::upstream::MemorySource;
 use lycheehaven_catalog::EngineSpec;
 use lycheehaven_catalog::Upstream;
 use lycheehaven_catalog::UpstreamKey;
-use lycheehaven_net::Caller;
 use lycheehaven_streams::Candidate;
 use lycheehaven_streams::EvacuationInput;
 use lycheehaven_streams::Expectation;
@@ -24,6 +22,7 @@
 
 use crate::attempt::Job;
 use crate::attempt::Target;
+use crate::call::post_once;
 use crate::node::Node;
 use crate::node::pause;
 use crate::node::spawn;
@@ -174,17 +173,16 @@
 
 /// Looks for leaving engines at intervals and moves what will not end there.
 pub(crate) async fn run(node: Rc<Node>) {
-    let caller = Rc::new(Caller::new().with_header("content-type", "application/json"));
     loop {
         pause(LOOK_MS).await;
         let upstreams = node.streams.borrow().upstreams();
         for upstream in upstreams {
-            look(&node, &caller, &upstream);
+            look(&node, &upstream);
         }
     }
 }
 
-fn look(node: &Rc<Node>, caller: &Rc<Caller>, upstream: &Upstream) {
+fn look(node: &Rc<Node>, upstream: &Upstream) {
     let now = node.now();
     let planned = Duration::from_millis(node.settings.bounds.drain_ms);
     let Some(left) = node.directory.borrow().left(&upstream.key, planned, now) else {
@@ -200,9 +198,8 @@
         let done = CancellationToken::new();
         *state.asked.borrow_mut() = Some(done.clone());
         let node = node.clone();
-        let caller = caller.clone();
         spawn(async move {
-            let moved = move_stream(&node, &caller, &state).await;
+            let moved = move_stream(&node, &state).await;
             state.end_move(moved);
             done.cancel();
         });
@@ -247,7 +244,7 @@
 }
 
 /// Moves one stream's memory to another engine.
-async fn move_stream(node: &Rc<Node>, caller: &Caller, state: &StreamState) -> Moved {
+async fn move_stream(node: &Rc<Node>, state: &StreamState) -> Moved {
     let source = state.upstream.borrow().clone();
     let tried = [source.key.clone()];
     let target = match serve::pick(node, &state.job, &tried, node.now()) {
@@ -258,19 +255,11 @@
         }
     };
     let body = engine::move_body(state.job.id(), target.upstream.addr, true);
-    let result = caller
-        .call(
-            Method::POST,
-            source.addr,
-            engine::MOVE_PATH,
-            body,
-            MOVE_WAIT,
-        )
-        .await;
+    let result = post_once(source.addr, engine::MOVE_PATH, &[], body, MOVE_WAIT).await;
     let reply = match result {
         Ok(reply) => reply,
         Err(cause) => {
-            log_move(state, &source, "no answer", &cause.to_string());
+            log_move(state, &source, "no answer", &cause);
             return Moved::Failed;
         }
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`duty`] reports usage and orders engines while this entry holds the lease.
 
 mod attempt;
+mod call;
 mod counts;
 mod daemon;
 mod duty;
