--- a/src/bin/lycheehaven.rs
+++ b/src/bin/lycheehaven.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use eyre::Result;
 use eyre::WrapErr;
@@ -14,6 +15,9 @@
 The first form runs an entry with lycheehaven's own API. The second runs a
 gateway, whose routes the platform's operator declares.";
 
+/// Pause before invalid settings of a gateway are read again.
+const SETTINGS_RETRY: Duration = Duration::from_secs(1);
+
 /// Exit code for bad arguments or settings.
 const EXIT_USAGE: u8 = 2;
 
@@ -41,33 +45,48 @@
 }
 
 fn gateway(file: &str, check: bool) -> ExitCode {
-    let settings = match lycheehaven_gateway::Settings::load(Path::new(file)) {
-        Ok(settings) => settings,
-        Err(cause) => {
-            eprintln!("{cause}");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
+    let path = Path::new(file);
     if check {
-        return print(&format!("{file}: settings are valid"));
+        return match lycheehaven_gateway::Settings::load(path) {
+            Ok(_) => print(&format!("{file}: settings are valid")),
+            Err(cause) => refuse(&cause.to_string()),
+        };
+    }
+    if let Err(cause) = lycheehaven_logs::start(log::LevelFilter::Info) {
+        return finish(Err(cause));
+    }
+    let settings = wait_for_settings(path);
+    log::set_max_level(settings.log_level.parse().unwrap_or(log::LevelFilter::Info));
+    finish(run(lycheehaven_gateway::run(settings, file.into())))
+}
+
+/// Reads the settings until they are valid. The platform writes them, and a
+/// process that ends would only be started again.
+fn wait_for_settings(path: &Path) -> lycheehaven_gateway::Settings {
+    loop {
+        match lycheehaven_gateway::Settings::load(path) {
+            Ok(settings) => return settings,
+            Err(cause) => {
+                let cause = cause.to_string();
+                log::error!(target: "lycheehaven", cause = cause.as_str(); "the settings are invalid; waiting for valid ones");
+            }
+        }
+        std::thread::sleep(SETTINGS_RETRY);
     }
-    let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
-    finish(run(level, lycheehaven_gateway::run(settings, file.into())))
 }
 
 fn entry(file: &str, check: bool) -> ExitCode {
     let settings = match Settings::load(Path::new(file)) {
         Ok(settings) => settings,
-        Err(cause) => {
-            eprintln!("{cause}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+        Err(cause) => return refuse(&cause.to_string()),
     };
     if check {
         return print(&format!("{file}: settings are valid"));
     }
-    let entry = lycheehaven_entry::run(settings);
-    finish(run(log::LevelFilter::Info, entry))
+    if let Err(cause) = lycheehaven_logs::start(log::LevelFilter::Info) {
+        return finish(Err(cause));
+    }
+    finish(run(lycheehaven_entry::run(settings)))
 }
 
 fn finish(result: Result<()>) -> ExitCode {
@@ -80,12 +99,16 @@
     }
 }
 
-fn run(level: log::LevelFilter, daemon: impl Future<Output = Result<()>>) -> Result<()> {
-    lycheehaven_logs::start(level)?;
+fn run(daemon: impl Future<Output = Result<()>>) -> Result<()> {
     let runtime = compio::runtime::Runtime::new().wrap_err("creating the event loop")?;
     runtime.block_on(daemon)
 }
 
+fn refuse(cause: &str) -> ExitCode {
+    eprintln!("{cause}");
+    ExitCode::from(EXIT_USAGE)
+}
+
 #[allow(clippy::print_stdout)]
 fn print(text: &str) -> ExitCode {
     println!("{text}");
