Record spending as soon as it rises, and use less of the slack

A workspace that sends four times its rate spent more in the second since the last record than was left of the slack when all entries were killed. Ruled out: counting a run's record twice (the sum is the gross spending). Change: the holder writes a record when a workspace's spending has risen by 4% of its limit since the last one, at each look (250 ms); 0.35 of the slack is used (0.5). Both constants stand beside the decision.

--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -21,10 +21,6 @@
 /// Kind and name of the record.
 const COUNTS: (&str, &str) = ("lycheehaven-counts", "last");
 
-/// Part of what may be exceeded that is used. The rest covers spending that
-/// peers have not reported yet.
-const USED_SLACK: f64 = 0.5;
-
 /// Entries up to which usage counts are kept: the record grows with them.
 const MOST_ENTRIES: usize = 32;
 
@@ -50,10 +46,21 @@
     } else {
         0.0
     };
-    Limit {
-        units,
-        slack: (units * bounds.quota_over + slack) * USED_SLACK,
-    }
+    Limit::new(units, units * bounds.quota_over + slack)
+}
+
+/// Whether so much was spent since the last record that a new one is due.
+pub(crate) fn is_due(node: &Node) -> bool {
+    let Some(catalog) = node.belief.borrow().catalog().cloned() else {
+        return false;
+    };
+    let now = node.now();
+    let mut allotments = node.allotments.borrow_mut();
+    catalog
+        .workspaces
+        .iter()
+        .filter(|workspace| workspace.rate > 0.0)
+        .any(|workspace| allotments.record_due(&workspace.name, limit(node, workspace), now))
 }
 
 /// Writes the record.
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -46,7 +46,7 @@
 /// Time after a restart until the demand of running callers is known.
 const SETTLE_RESTART: Duration = Duration::from_millis(4000);
 
-/// Interval at which the counts are written.
+/// Interval at which the counts are written, if not much is spent.
 const KEEP_COUNTS: Duration = Duration::from_millis(1000);
 
 /// Silence after which a peer's entry is removed from the store.
@@ -305,7 +305,7 @@
         let recent = self
             .kept
             .is_some_and(|at| now.saturating_duration_since(at) < KEEP_COUNTS);
-        if recent {
+        if recent && !counts::is_due(node) {
             return;
         }
         self.kept = Some(now);
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -50,6 +50,24 @@
     spent: HashMap<Name, f64>,
 }
 
+/// Part of what may be exceeded that is used. The rest covers spending that
+/// peers have not reported yet, or that no record held when all restarted.
+const USED_SLACK: f64 = 0.35;
+
+/// Rise of a workspace's spending, as a part of its limit, after which a record
+/// of all spending is due.
+const RECORD_RISE: f64 = 0.04;
+
+impl Limit {
+    /// A limit of `units` that may be exceeded by `excess` over all entries.
+    pub fn new(units: f64, excess: f64) -> Self {
+        Self {
+            units,
+            slack: excess * USED_SLACK,
+        }
+    }
+}
+
 /// Counts what each workspace spent here and at the peers.
 ///
 /// The sum over all entries stays within a limit plus what is spent between
@@ -62,6 +80,8 @@
     window: Duration,
     own: HashMap<Name, Sliding>,
     peers: HashMap<Name, PeerSpend>,
+    /// Spending in the last record, by workspace.
+    recorded: HashMap<Name, f64>,
 }
 
 impl Allotments {
@@ -71,6 +91,7 @@
             window,
             own: HashMap::default(),
             peers: HashMap::default(),
+            recorded: HashMap::default(),
         }
     }
 
@@ -118,6 +139,11 @@
     /// What each run of an entry spent in the last window, this one's under
     /// `me`.
     pub fn snapshot(&mut self, me: &Name, incarnation: u64, now: Instant) -> Vec<RunSpending> {
+        let workspaces: Vec<Name> = self.workspaces();
+        for workspace in workspaces {
+            let total = self.total(&workspace, now);
+            self.recorded.insert(workspace, total);
+        }
         let own = RunSpending {
             entry: me.clone(),
             incarnation,
@@ -145,6 +171,28 @@
             .collect()
     }
 
+    /// What a workspace spent in the last window here and at the peers that
+    /// were heard in it.
+    pub fn total(&mut self, workspace: &Name, now: Instant) -> f64 {
+        let own = self.own.get_mut(workspace).map_or(0.0, |sum| sum.sum(now));
+        let window = self.window;
+        let peers: f64 = self
+            .peers
+            .values()
+            .filter(|known| now.saturating_duration_since(known.heard) < window)
+            .filter_map(|known| known.spent.get(workspace))
+            .sum();
+        own + peers
+    }
+
+    /// Whether a workspace spent so much since the last record that a new one
+    /// is due: what no record holds is forgotten when all entries restart.
+    pub fn record_due(&mut self, workspace: &Name, limit: Limit, now: Instant) -> bool {
+        let total = self.total(workspace, now);
+        let recorded = self.recorded.get(workspace).copied().unwrap_or(0.0);
+        total - recorded > limit.units * RECORD_RISE
+    }
+
     /// Spends `cost` if the limit allows it. `members` are all entries that may
     /// be running, this one included.
     ///
@@ -177,6 +225,14 @@
         Ok(())
     }
 
+    fn workspaces(&self) -> Vec<Name> {
+        let peers = self.peers.values().flat_map(|known| known.spent.keys());
+        let mut names: Vec<Name> = self.own.keys().chain(peers).cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
     fn elsewhere(&self, workspace: &Name, limit: Limit, members: &[Name], now: Instant) -> f64 {
         let share = limit.units / members.len().max(1) as f64;
         let heard = |peer: &Name| {
--- a/crates/guard/tests/allotments.rs
+++ b/crates/guard/tests/allotments.rs
@@ -5,6 +5,7 @@
 
 use lycheehaven_guard::Allotments;
 use lycheehaven_guard::Limit;
+use lycheehaven_guard::RunSpending;
 use lycheehaven_types::Name;
 use proptest::prelude::*;
 
@@ -40,9 +41,13 @@
     }
 
     fn spend(&mut self, entry: usize, cost: f64, millis: u64) -> bool {
+        self.spend_of(entry, cost, millis, LIMIT)
+    }
+
+    fn spend_of(&mut self, entry: usize, cost: f64, millis: u64, limit: Limit) -> bool {
         let now = self.at(millis);
         let admitted = self.entries[entry]
-            .admit(&"w".into(), LIMIT, cost, &self.names, now)
+            .admit(&"w".into(), limit, cost, &self.names, now)
             .is_ok();
         if admitted {
             self.spent.push((millis, cost));
@@ -51,13 +56,17 @@
     }
 
     fn exchange(&mut self, millis: u64, hears: impl Fn(usize, usize) -> bool) {
+        self.exchange_as(1, millis, hears);
+    }
+
+    fn exchange_as(&mut self, incarnation: u64, millis: u64, hears: impl Fn(usize, usize) -> bool) {
         let now = self.at(millis);
         for from in 0..self.entries.len() {
             let report = self.entries[from].report(now);
             for to in 0..self.entries.len() {
                 if to != from && hears(from, to) {
                     let name = self.names[from].clone();
-                    self.entries[to].hear(&name, 1, &report, now);
+                    self.entries[to].hear(&name, incarnation, &report, now);
                 }
             }
         }
@@ -175,6 +184,64 @@
 }
 
 proptest! {
+    /// Day all-killed-after-ack, seed 283464547088: a workspace that sends far
+    /// beyond its limit when all entries are killed; only the record, looked at
+    /// every 250 ms, is left.
+    #[test]
+    fn sum_keeps_to_what_may_be_exceeded_across_a_restart_of_all(
+        asked in 10.0_f64..33.0,
+        killed_at in 4_u64..140,
+        offset in 0_u64..5,
+    ) {
+        // Units of a thousand tokens: 78 a second, a burst of as much. The
+        // workspace asks for up to 330 a second, 4.2 times its rate.
+        let units = 700.0;
+        let excess = 210.0;
+        let limit = Limit::new(units, excess);
+        let mut fleet = Fleet::new(7);
+        let mut record = Vec::new();
+        let mut recorded_at = 0;
+        for step in 0..200_u64 {
+            let millis = step * 50;
+            if step == killed_at {
+                let at = fleet.at(recorded_at);
+                for (index, entry) in fleet.entries.iter_mut().enumerate() {
+                    *entry = Allotments::new(WINDOW);
+                    for run in &record {
+                        let run: &RunSpending = run;
+                        let own = *run.entry == *fleet.names[index];
+                        let name = if own { "former".into() } else { run.entry.clone() };
+                        entry.hear(&name, run.incarnation, &run.spent, at);
+                    }
+                }
+            }
+            let down = step >= killed_at && step < killed_at + 10;
+            if down {
+                continue;
+            }
+            let incarnation = u64::from(step >= killed_at) + 1;
+            if step % 4 == offset % 4 {
+                fleet.exchange_as(incarnation, millis, |_, _| true);
+            }
+            if step % 5 == offset {
+                let now = fleet.at(millis);
+                let workspace = "w".into();
+                let due = fleet.entries[0].record_due(&workspace, limit, now);
+                if due || millis - recorded_at >= 1000 {
+                    let me = fleet.names[0].clone();
+                    record = fleet.entries[0].snapshot(&me, incarnation, now);
+                    recorded_at = millis;
+                }
+            }
+            // A step's demand comes in requests of 3 units at all entries.
+            let requests = (asked * 50.0 / 1000.0 * 10.0 / 3.0) as usize;
+            for request in 0..requests {
+                fleet.spend_of(request % 7, 3.0, millis, limit);
+            }
+        }
+        prop_assert!(fleet.most() <= units + excess, "spent {}", fleet.most());
+    }
+
     /// With entries that are cut off at any time, the sum over all of them
     /// exceeds the limit only by what is spent between two reports, and while
     /// a silent peer is not yet taken to be one.
