Keep the time of log lines in RFC 3339

Ruled out: the lease keeper's renewal without a read; the lease was held. Change: the time is text again, as the entry's log format has always been.

--- a/crates/logs/src/encode.rs
+++ b/crates/logs/src/encode.rs
@@ -1,7 +1,6 @@
 //! One record as a JSON line.
 
 use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use log::Record;
 use log::kv::Error;
@@ -11,19 +10,15 @@
 use serde_json::Map;
 use serde_json::json;
 
-/// Builds the line for `record`, with its end: the time in seconds since the
-/// Unix epoch, level, message, and attributes as text. `dropped` lines before
-/// it are told of.
+/// Builds the line for `record`, with its end: the time by RFC 3339, level,
+/// message, and attributes as text. `dropped` lines before it are told of.
 pub fn encode(record: &Record<'_>, wall: SystemTime, dropped: u64) -> Vec<u8> {
-    let seconds = wall
-        .duration_since(UNIX_EPOCH)
-        .map_or(0.0, |time| time.as_millis() as f64 / 1000.0);
     let mut attributes = Attributes(Map::new());
     // The visitor refuses nothing.
     let visited = record.key_values().visit(&mut attributes);
     debug_assert!(visited.is_ok());
     let mut line = json!({
-        "time": seconds,
+        "time": humantime::format_rfc3339_micros(wall).to_string(),
         "level": record.level().as_str(),
         "message": record.args().to_string(),
         "attributes": attributes.0,
