--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -63,6 +63,7 @@
     leaving: HashMap<UpstreamKey, Leaving>,
     lapsing: HashSet<Name>,
     hold: Option<Instant>,
+    loaded: bool,
 }
 
 impl Directory {
@@ -75,8 +76,14 @@
         self.hold = Some(until);
     }
 
+    /// Whether a full list was taken over.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
     /// Takes over a full list.
     pub fn replace(&mut self, list: Vec<Upstream>, now: Instant) {
+        self.loaded = true;
         let ids: HashSet<Name> = list.iter().map(|up| up.key.id.clone()).collect();
         let gone: Vec<Name> = self
             .upstreams
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -124,7 +124,10 @@
 
     /// Whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.knows_peers() && self.is_current(self.now())
+        !self.stopping.get()
+            && self.knows_peers()
+            && self.directory.borrow().is_loaded()
+            && self.is_current(self.now())
     }
 
     /// Whether it is known which entries share limits, and what was spent
