Expect spending until the next record when keeping it

Cause: the record of spending holds what was known when it was written. A workspace that asks for four times its rate spends up to 0.45 s more until all entries are killed: 0.25 s until the holder looks, 0.2 s until peers told it. Change: the record also holds an entry for the spending expected until the next one, from the rise since the last, and entries that start adopt it.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -11,6 +11,7 @@
 use lycheehaven_duties::Order;
 use lycheehaven_duties::Scaled;
 use lycheehaven_duties::Scaler;
+use lycheehaven_guard::RECORD_CHECK;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use serde::Deserialize;
@@ -29,7 +30,7 @@
 const USAGE: (&str, &str) = ("lycheehaven-usage", "last");
 
 /// Interval between looks at the duties, in milliseconds.
-const TICK_MS: u64 = 250;
+const TICK_MS: u64 = RECORD_CHECK.as_millis() as u64;
 
 /// Longest wait for the cloud's answer.
 const CLOUD_WAIT: Duration = Duration::from_millis(800);
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -43,6 +43,13 @@
     pub spent: Vec<(Name, f64)>,
 }
 
+/// The last record.
+#[derive(Debug)]
+struct Recorded {
+    at: Instant,
+    totals: HashMap<Name, f64>,
+}
+
 #[derive(Debug)]
 struct PeerSpend {
     incarnation: u64,
@@ -58,6 +65,16 @@
 /// of all spending is due.
 const RECORD_RISE: f64 = 0.04;
 
+/// Interval at which it is looked whether a record is due.
+pub const RECORD_CHECK: Duration = Duration::from_millis(250);
+
+/// Spending that the last record can lack when all entries are killed: it is
+/// due at the next look, and peers' spending is known 200 ms late.
+const UNRECORDED: Duration = Duration::from_millis(450);
+
+/// Stands in a record for spending that it probably lacks.
+const EXPECTED: &str = "expected";
+
 impl Limit {
     /// A limit of `units` that may be exceeded by `excess` over all entries.
     pub fn new(units: f64, excess: f64) -> Self {
@@ -80,8 +97,7 @@
     window: Duration,
     own: HashMap<Name, Sliding>,
     peers: HashMap<Name, PeerSpend>,
-    /// Spending in the last record, by workspace.
-    recorded: HashMap<Name, f64>,
+    recorded: Option<Recorded>,
 }
 
 impl Allotments {
@@ -91,7 +107,7 @@
             window,
             own: HashMap::default(),
             peers: HashMap::default(),
-            recorded: HashMap::default(),
+            recorded: None,
         }
     }
 
@@ -137,13 +153,13 @@
     }
 
     /// What each run of an entry spent in the last window, this one's under
-    /// `me`.
+    /// `me`, and what all of them will probably spend until the next record.
     pub fn snapshot(&mut self, me: &Name, incarnation: u64, now: Instant) -> Vec<RunSpending> {
-        let workspaces: Vec<Name> = self.workspaces();
-        for workspace in workspaces {
-            let total = self.total(&workspace, now);
-            self.recorded.insert(workspace, total);
-        }
+        let expected = RunSpending {
+            entry: EXPECTED.into(),
+            incarnation,
+            spent: self.expect_spending(now),
+        };
         let own = RunSpending {
             entry: me.clone(),
             incarnation,
@@ -159,7 +175,21 @@
                 incarnation: known.incarnation,
                 spent: known.spent.clone().into_iter().collect(),
             });
-        peers.chain([own]).collect()
+        peers.chain([own, expected]).collect()
+    }
+
+    /// Notes the totals as recorded and returns what will be spent until the
+    /// next record if spending rises on as it did since the last one.
+    fn expect_spending(&mut self, now: Instant) -> Vec<(Name, f64)> {
+        let totals: HashMap<Name, f64> = self
+            .workspaces()
+            .into_iter()
+            .map(|workspace| (workspace.clone(), self.total(&workspace, now)))
+            .collect();
+        let last = self.recorded.take();
+        let expected = last.map_or_else(Vec::new, |last| expected_rise(&last, &totals, now));
+        self.recorded = Some(Recorded { at: now, totals });
+        expected
     }
 
     /// What each workspace spent here in the last window.
@@ -189,8 +219,9 @@
     /// is due: what no record holds is forgotten when all entries restart.
     pub fn record_due(&mut self, workspace: &Name, limit: Limit, now: Instant) -> bool {
         let total = self.total(workspace, now);
-        let recorded = self.recorded.get(workspace).copied().unwrap_or(0.0);
-        total - recorded > limit.units * RECORD_RISE
+        let last = self.recorded.as_ref();
+        let recorded = last.and_then(|last| last.totals.get(workspace).copied());
+        total - recorded.unwrap_or(0.0) > limit.units * RECORD_RISE
     }
 
     /// Spends `cost` if the limit allows it. `members` are all entries that may
@@ -263,3 +294,20 @@
         total + unknown as f64 * share
     }
 }
+
+/// Spending until the next record, by workspace. A rise may have begun just
+/// before it was seen, so it is taken to have lasted no longer than a look.
+fn expected_rise(last: &Recorded, totals: &HashMap<Name, f64>, now: Instant) -> Vec<(Name, f64)> {
+    let gap = now
+        .saturating_duration_since(last.at)
+        .clamp(RECORD_CHECK / 2, RECORD_CHECK);
+    let looks = UNRECORDED.as_secs_f64() / gap.as_secs_f64();
+    totals
+        .iter()
+        .map(|(workspace, total)| {
+            let before = last.totals.get(workspace).copied().unwrap_or(0.0);
+            (workspace.clone(), (total - before) * looks)
+        })
+        .filter(|(_, units)| *units > 0.0)
+        .collect()
+}
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -12,6 +12,7 @@
 pub use allotment::Allotments;
 pub use allotment::Exceeded;
 pub use allotment::Limit;
+pub use allotment::RECORD_CHECK;
 pub use allotment::RunSpending;
 pub use budget::BudgetTerms;
 pub use budget::RetryBudget;
