Receive signals through a socket, not in their handler

Cause: compio's signal handler clones, wakes and frees tasks' wakers inside the handler, which interrupts the loop anywhere: memory is allocated and the run queue is changed while the loop may be in the middle of both. Between two waits the handler is taken out, so that a signal that comes then ends the process. Ruled out: time-outs of the hand-over (each call has one, below 10 s in all). Change: crates/signals writes a byte to a socket that the loop reads; the handler is installed once. Before: many_signals_under_load_neither_end_nor_stop_the_entry fails, as SIGHUP ends the process. After: it passes.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,6 +9,8 @@
 use lycheehaven_config::Settings;
 use lycheehaven_net::ServerLimits;
 use lycheehaven_net::serve;
+use lycheehaven_signals::Signal;
+use lycheehaven_signals::Signals;
 use lycheehaven_types::SystemClock;
 use tokio_util::sync::CancellationToken;
 
@@ -25,9 +27,6 @@
 use crate::replicate;
 use crate::watch;
 
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
-
 /// Runs an entry until it is told to stop and has handed its requests over.
 pub async fn run(settings: Settings) -> Result<()> {
     let front = bind(settings.listen).await.wrap_err("listen")?;
@@ -58,7 +57,7 @@
         async move { peer_api::handle(node, request).await }
     });
     spawn(peer_server);
-    spawn_signals(&node);
+    spawn_signals(&node)?;
     spawn(start_loops(node.clone()));
     handover::wait_and_drain(&node, &accepting).await;
     node.stop.cancel();
@@ -90,20 +89,24 @@
     log::info!(target: "lycheehaven", config = node.declared().number; "ready");
 }
 
-fn spawn_signals(node: &Rc<Node>) {
-    for signal in [SIGINT, SIGTERM] {
-        let node = node.clone();
-        spawn(async move {
-            loop {
-                if compio::signal::unix::signal(signal).await.is_err() {
-                    return;
-                }
-                if node.draining.replace(true) {
-                    // A second signal ends the wait for streams to finish.
-                    node.handing_over.set(true);
-                }
-                node.drain.notify_waiters();
-            }
-        });
+fn spawn_signals(node: &Rc<Node>) -> Result<()> {
+    for signal in [Signal::Interrupt, Signal::Terminate] {
+        let signals = Signals::listen(signal).wrap_err("installing a signal handler")?;
+        spawn(follow_signal(node.clone(), signals));
+    }
+    Ok(())
+}
+
+async fn follow_signal(node: Rc<Node>, mut signals: Signals) {
+    loop {
+        if let Err(cause) = signals.receive().await {
+            log::error!(target: "lycheehaven", cause = cause.to_string().as_str(); "signals can't be received");
+            return;
+        }
+        if node.draining.replace(true) {
+            // A second signal ends the wait for streams to finish.
+            node.handing_over.set(true);
+        }
+        node.drain.notify_waiters();
     }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,6 +18,8 @@
 use lycheehaven_net::ServerLimits;
 use lycheehaven_net::bytes_response;
 use lycheehaven_net::serve;
+use lycheehaven_signals::Signal;
+use lycheehaven_signals::Signals;
 use lycheehaven_types::SystemClock;
 
 use crate::counts;
@@ -32,10 +34,6 @@
 use crate::settings::Settings;
 use crate::watch;
 
-const SIGHUP: i32 = 1;
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
-
 /// Descriptors that are kept for files, peers and upstreams.
 const RESERVED_DESCRIPTORS: usize = 1200;
 
@@ -80,7 +78,7 @@
         "started"
     );
     spawn_servers(&node, front, ready, metrics);
-    spawn_signals(&node, file);
+    spawn_signals(&node, &file)?;
     spawn(watch::follow_config(node.clone()));
     spawn(watch::follow_servers(node.clone()));
     spawn(watch::follow_members(node.clone()));
@@ -148,25 +146,28 @@
     response
 }
 
-fn spawn_signals(node: &Rc<Node>, file: PathBuf) {
-    for signal in [SIGHUP, SIGINT, SIGTERM] {
-        let node = node.clone();
-        let file = file.clone();
-        spawn(async move {
-            loop {
-                if let Err(cause) = compio::signal::unix::signal(signal).await {
-                    log::error!(target: "lycheehaven", signal = signal, cause = cause.to_string().as_str(); "signals can't be received");
-                    return;
-                }
-                log::info!(target: "lycheehaven", signal = signal; "signal received");
-                if signal == SIGHUP {
-                    check_settings(&node.settings, &file);
-                } else {
-                    node.stopping.set(true);
-                    node.stop_asked.cancel();
-                }
+fn spawn_signals(node: &Rc<Node>, file: &Path) -> Result<()> {
+    for signal in [Signal::Hangup, Signal::Interrupt, Signal::Terminate] {
+        let signals = Signals::listen(signal).wrap_err("installing a signal handler")?;
+        spawn(follow_signal(node.clone(), file.into(), signal, signals));
+    }
+    Ok(())
+}
+
+async fn follow_signal(node: Rc<Node>, file: PathBuf, signal: Signal, mut signals: Signals) {
+    loop {
+        if let Err(cause) = signals.receive().await {
+            log::error!(target: "lycheehaven", signal = signal.number(), cause = cause.to_string().as_str(); "signals can't be received");
+            return;
+        }
+        log::info!(target: "lycheehaven", signal = signal.number(); "signal received");
+        match signal {
+            Signal::Hangup => check_settings(&node.settings, &file),
+            Signal::Interrupt | Signal::Terminate => {
+                node.stopping.set(true);
+                node.stop_asked.cancel();
             }
-        });
+        }
     }
 }
 
