Look an engine's declaration up in one place

relay::stride looked it up as evacuate::engine_spec does and now calls it; spending_known stands for all counts and is named so. No change in behaviour.

--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -92,7 +92,7 @@
                 if let Some(object) = object {
                     adopt(&node, Record::deserialize(&object.spec));
                 }
-                node.spending_known.set(true);
+                node.counts_known.set(true);
                 return;
             }
             Err(_) => pause(RETRY_MS).await,
--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -238,7 +238,8 @@
         .collect()
 }
 
-fn engine_spec(node: &Node, service: &Name) -> Option<EngineSpec> {
+/// What the configuration declares of a service's engines.
+pub(crate) fn engine_spec(node: &Node, service: &Name) -> Option<EngineSpec> {
     let belief = node.belief.borrow();
     belief.catalog()?.services.get(service)?.engine.clone()
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -50,8 +50,8 @@
     pub(crate) streams: RefCell<Streams>,
     pub(crate) metrics: Metrics,
     pub(crate) policy: Policy,
-    /// Whether the spending before this entry's start has been read.
-    pub(crate) spending_known: Cell<bool>,
+    /// Whether the counts from before this entry's start have been read.
+    pub(crate) counts_known: Cell<bool>,
     /// Whether this entry holds the lease.
     pub(crate) holds_lease: Cell<bool>,
     /// When a peer last said that it holds the lease.
@@ -96,7 +96,7 @@
             streams: RefCell::default(),
             metrics: Metrics::new(),
             policy: Policy::default(),
-            spending_known: Cell::new(false),
+            counts_known: Cell::new(false),
             holds_lease: Cell::new(false),
             holder_heard: Cell::new(None),
             open: Cell::new(0),
@@ -133,7 +133,7 @@
     /// Whether it is known which entries share limits, and what was spent
     /// before this entry started.
     pub(crate) fn knows_peers(&self) -> bool {
-        self.members.borrow().is_loaded() && self.spending_known.get()
+        self.members.borrow().is_loaded() && self.counts_known.get()
     }
 
     /// Present figures for the metrics.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::attempt::Resume;
 use crate::attempt::Target;
 use crate::attempt::Ticket;
+use crate::evacuate;
 use crate::evacuate::Moved;
 use crate::evacuate::StreamState;
 use crate::node::Node;
@@ -119,13 +120,7 @@
 
 /// Tokens in one event of the service's streams.
 fn stride(node: &Node, job: &Job) -> u64 {
-    let belief = node.belief.borrow();
-    let service = belief
-        .catalog()
-        .and_then(|catalog| catalog.services.get(&job.service));
-    service
-        .and_then(|service| service.engine.as_ref())
-        .map_or(1, |engine| u64::from(engine.stride))
+    evacuate::engine_spec(node, &job.service).map_or(1, |engine| u64::from(engine.stride))
 }
 
 impl Relay {
