Let peers prove the configuration where many entries run

Ruled out: longer waits (the proof gets too old for strict revocation). Change: an entry that does not follow the store asks two that do, every 0.7 s; the answer names version and age of the proof, and the question's time less that age is a proof whatever the network did. Versions also go with the exchange, and an entry that hears of a newer one lists the configuration at once. A proof older than 2.4 s makes it ask the store. Not measured yet.

--- a/crates/catalog/src/belief.rs
+++ b/crates/catalog/src/belief.rs
@@ -28,10 +28,11 @@
         newer
     }
 
-    /// Notes that the store, asked at `sent`, had nothing newer.
-    pub fn prove(&mut self, sent: Instant) {
-        if self.proved.is_none_or(|known| known < sent) {
-            self.proved = Some(sent);
+    /// Notes that the store had nothing newer at `at` or later, such as when the
+    /// call was sent that it answered.
+    pub fn prove(&mut self, at: Instant) {
+        if self.proved.is_none_or(|known| known < at) {
+            self.proved = Some(at);
         }
     }
 
@@ -40,6 +41,11 @@
         self.catalog.as_ref()
     }
 
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Option<u64> {
+        self.catalog.as_ref().map(|catalog| catalog.version)
+    }
+
     /// Time since the configuration was last proved to be the newest.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.catalog.as_ref()?;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -31,6 +31,7 @@
 use crate::node::Node;
 use crate::node::pause;
 use crate::node::spawn;
+use crate::proof;
 use crate::settings::Settings;
 use crate::watch;
 
@@ -85,6 +86,7 @@
     spawn(counts::load(node.clone()));
     spawn(exchange::register(node.clone()));
     spawn(exchange::send(node.clone(), peers.clone()));
+    spawn(proof::ask(node.clone(), peers.clone()));
     spawn(exchange::receive(node.clone(), peers));
     let lease = LeaseHandle::new(&node);
     spawn(lease.clone().run());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,17 +10,20 @@
 
 use compio::net::UdpSocket;
 use lycheehaven_adapter::store::Object;
+use lycheehaven_catalog::FOLLOWERS;
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_dispatch::LoadReport;
 use lycheehaven_duties::Counts;
 use lycheehaven_types::Digest;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
+use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::node::Node;
 use crate::node::pause;
+use crate::proof;
 
 /// Kind of the entries' own objects in the store.
 pub(crate) const MEMBERS: &str = "lycheehaven-entries";
@@ -175,6 +178,26 @@
             .map(|(name, _)| name)
     }
 
+    /// Addresses of two other members that follow the store, one of them of the
+    /// failure domain if there is one.
+    pub(crate) fn followers(&self, me: &Name, domain: &Name) -> Vec<SocketAddr> {
+        let mut names: Vec<&Name> = self.known.keys().collect();
+        names.sort_unstable();
+        let mut seen: HashMap<&Name, usize> = HashMap::default();
+        names.retain(|name| {
+            let count = seen.entry(&self.known[*name].member.domain).or_default();
+            *count += 1;
+            *count <= FOLLOWERS && *name != me
+        });
+        let near = |name: &&&Name| self.known[**name].member.domain == *domain;
+        let first = names.iter().filter(near).choose(&mut rand::rng()).copied();
+        let second = names.iter().choose(&mut rand::rng()).copied();
+        let chosen = first
+            .into_iter()
+            .chain(second.filter(|name| Some(*name) != first));
+        chosen.map(|name| self.known[name].member.addr).collect()
+    }
+
     fn addresses(&self, me: &Name) -> Vec<SocketAddr> {
         self.known
             .iter()
@@ -184,9 +207,33 @@
     }
 }
 
+/// What entries send each other.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Datagram {
+    Report(Box<Message>),
+    Question(proof::Question),
+    Answer(proof::Answer),
+}
+
+impl Datagram {
+    /// The datagram's bytes: the format and the content.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(&(FORMAT, self)).expect("messages serialize to MessagePack")
+    }
+
+    /// `None` if it has another format.
+    fn decode(bytes: &[u8]) -> Result<Option<Self>, rmp_serde::decode::Error> {
+        match rmp_serde::from_slice::<(u8, Self)>(bytes) {
+            Ok((FORMAT, datagram)) => Ok(Some(datagram)),
+            Ok(_) => Ok(None),
+            Err(cause) => Err(cause),
+        }
+    }
+}
+
+/// All that an entry tells at intervals.
 #[derive(Debug, Serialize, Deserialize)]
-struct Message {
-    format: u8,
+pub(crate) struct Message {
     from: Name,
     incarnation: u64,
     wall_ms: i64,
@@ -197,6 +244,8 @@
     leaving: Vec<UpstreamKey>,
     crashes: Vec<(Digest, UpstreamKey)>,
     holds_lease: bool,
+    /// Version of the configuration in force there, 0 if none.
+    version: u64,
     /// Age in milliseconds of the sender's last current answer about upstreams,
     /// if it follows the store.
     store_age: Option<u64>,
@@ -247,16 +296,21 @@
         if !peers.is_empty() {
             let bytes = encode(&node);
             for peer in peers {
-                let sent = socket.send_to(bytes.clone(), peer).await;
-                if let Err(cause) = sent.0 {
-                    log::debug!(target: "lycheehaven", peer = peer.to_string().as_str(), cause = cause.to_string().as_str(); "a peer can't be told");
-                }
+                send_to(&socket, &bytes, peer).await;
             }
         }
         pause(INTERVAL_MS).await;
     }
 }
 
+/// Sends a datagram; it may be lost.
+pub(crate) async fn send_to(socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
+    let sent = socket.send_to(bytes.to_vec(), peer).await;
+    if let Err(cause) = sent.0 {
+        log::debug!(target: "lycheehaven", peer = peer.to_string().as_str(), cause = cause.to_string().as_str(); "a peer can't be told");
+    }
+}
+
 /// Takes over what peers send.
 pub(crate) async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = Vec::with_capacity(MAX_DATAGRAM);
@@ -265,9 +319,13 @@
         let result = socket.recv_from(buffer).await;
         buffer = result.1;
         match result.0 {
-            Ok(_) => match rmp_serde::from_slice::<Message>(&buffer) {
-                Ok(message) if message.format == FORMAT => adopt(&node, message),
-                Ok(_) => {}
+            Ok((_, peer)) => match Datagram::decode(&buffer) {
+                Ok(Some(Datagram::Report(message))) => adopt(&node, *message),
+                Ok(Some(Datagram::Question(question))) => {
+                    proof::answer(&node, &socket, question, peer).await;
+                }
+                Ok(Some(Datagram::Answer(answer))) => proof::adopt(&node, &answer),
+                Ok(None) => {}
                 Err(cause) => {
                     let cause = cause.to_string();
                     log::warn!(target: "lycheehaven", cause = cause.as_str(); "a peer's message can't be decoded");
@@ -290,7 +348,6 @@
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |time| time.as_millis() as i64);
     let message = Message {
-        format: FORMAT,
         from: node.settings.name.clone(),
         incarnation: node.incarnation,
         wall_ms,
@@ -307,12 +364,13 @@
             .collect(),
         crashes: node.suspects.borrow().report(),
         holds_lease: node.holds_lease.get(),
+        version: node.belief.borrow().version().unwrap_or(0),
         store_age: node
             .servers_read
             .get()
             .map(|read| now.saturating_duration_since(read).as_millis() as u64),
     };
-    rmp_serde::to_vec(&message).expect("messages serialize to MessagePack")
+    Datagram::Report(Box::new(message)).encode()
 }
 
 fn adopt(node: &Rc<Node>, message: Message) {
@@ -342,6 +400,7 @@
     if message.holds_lease {
         node.holder_heard.set(Some(now));
     }
+    node.hear_version(message.version);
     if let Some(age) = message.store_age {
         let age = Duration::from_millis(age);
         node.informed.borrow_mut().hear(age, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod lease;
 mod metrics;
 mod node;
+mod proof;
 mod relay;
 mod serve;
 mod settings;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -61,6 +61,10 @@
     /// When a current answer about upstreams last came, while this entry follows
     /// the store.
     pub(crate) servers_read: Cell<Option<Instant>>,
+    /// Newest version of the configuration that a peer told of.
+    version_heard: Cell<u64>,
+    /// Version up to which the store was asked for the configuration.
+    version_sought: Cell<u64>,
     /// Whether peers tell this entry of leaving upstreams.
     pub(crate) informed: RefCell<Informed>,
     /// Requests whose answers are not complete.
@@ -107,6 +111,8 @@
             holds_lease: Cell::new(false),
             holder_heard: Cell::new(None),
             servers_read: Cell::new(None),
+            version_heard: Cell::new(0),
+            version_sought: Cell::new(0),
             informed: RefCell::default(),
             open: Cell::new(0),
             stopping: Cell::new(false),
@@ -146,6 +152,24 @@
         follows_store(&self.settings.name, neighbours)
     }
 
+    /// Notes that a peer has a version of the configuration.
+    pub(crate) fn hear_version(&self, version: u64) {
+        self.version_heard
+            .set(self.version_heard.get().max(version));
+    }
+
+    /// Whether a peer told of a newer configuration than this entry has, since
+    /// it last asked the store.
+    pub(crate) fn is_behind(&self) -> bool {
+        let known = self.belief.borrow().version().unwrap_or(0);
+        self.version_heard.get() > known.max(self.version_sought.get())
+    }
+
+    /// Notes that the store is asked for all that peers told of.
+    pub(crate) fn seek_version(&self) {
+        self.version_sought.set(self.version_heard.get());
+    }
+
     /// Whether this entry may rely on peers for news of upstreams.
     pub(crate) fn is_informed(&self) -> bool {
         !self.follows_store() && self.informed.borrow().lasts(self.now())
--- /dev/null
+++ b/crates/gateway/src/proof.rs
@@ -0,0 +1,100 @@
+//! Proofs of the configuration from peers.
+//!
+//! An entry that follows the store tells others, when asked, which version it
+//! has and how long ago the store proved it. The answer is later than the
+//! question, so the proof is no older than the question's time less that age,
+//! whatever the network did to either.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::net::UdpSocket;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::exchange::Datagram;
+use crate::exchange::send_to;
+use crate::node::Node;
+use crate::node::pause;
+
+/// Interval between questions, in milliseconds.
+const ASK_MS: u64 = 700;
+
+/// Age up to which an entry asks peers for a newer proof before it asks the
+/// store itself.
+const PEERS_UNTIL: Duration = Duration::from_millis(2400);
+
+/// Asks for a proof.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Question {
+    /// Milliseconds since the asking process started.
+    sent_ms: u64,
+}
+
+/// What a peer knows.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Answer {
+    /// The question's.
+    sent_ms: u64,
+    /// Version of the configuration.
+    version: u64,
+    /// Age of its proof in milliseconds.
+    age_ms: u64,
+}
+
+/// Asks peers that follow the store, unless this entry does.
+pub(crate) async fn ask(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        if !node.follows_store() {
+            let sent_ms = since_start(&node, node.now());
+            let bytes = Datagram::Question(Question { sent_ms }).encode();
+            let (me, domain) = (&node.settings.name, &node.settings.domain);
+            let followers = node.members.borrow().followers(me, domain);
+            for peer in followers {
+                send_to(&socket, &bytes, peer).await;
+            }
+        }
+        pause(ASK_MS).await;
+    }
+}
+
+/// Answers a peer's question, if anything is known.
+pub(crate) async fn answer(node: &Node, socket: &UdpSocket, question: Question, peer: SocketAddr) {
+    let known = {
+        let belief = node.belief.borrow();
+        belief.version().zip(belief.age(node.now()))
+    };
+    if let Some((version, age)) = known {
+        let answer = Answer {
+            sent_ms: question.sent_ms,
+            version,
+            age_ms: age.as_millis() as u64 + 1,
+        };
+        send_to(socket, &Datagram::Answer(answer).encode(), peer).await;
+    }
+}
+
+/// Takes over a peer's answer.
+pub(crate) fn adopt(node: &Node, answer: &Answer) {
+    node.hear_version(answer.version);
+    let sent = node.started + Duration::from_millis(answer.sent_ms);
+    let proved = sent.checked_sub(Duration::from_millis(answer.age_ms));
+    let mut belief = node.belief.borrow_mut();
+    if let Some(proved) = proved.filter(|_| belief.version() == Some(answer.version)) {
+        belief.prove(proved);
+    }
+}
+
+/// Whether this entry may leave it to its peers to prove the configuration.
+pub(crate) fn comes_from_peers(node: &Node) -> bool {
+    let bound = node.settings.bounds.stale_after();
+    // Time is left to ask the store before the proof is too old.
+    let bound = bound.map_or(PEERS_UNTIL, |bound| PEERS_UNTIL.min(bound.mul_f64(0.63)));
+    !node.follows_store() && !node.is_behind() && node.belief.borrow().fresh(node.now(), bound)
+}
+
+fn since_start(node: &Node, now: Instant) -> u64 {
+    now.saturating_duration_since(node.started).as_millis() as u64
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -15,6 +15,7 @@
 use crate::exchange::MEMBERS;
 use crate::node::Node;
 use crate::node::pause;
+use crate::proof;
 use crate::store::StoreError;
 use crate::store::Watched;
 
@@ -92,15 +93,20 @@
     let mut revision = None;
     loop {
         let sent = node.now();
+        let reading = match revision {
+            None => Reading::Current,
+            Some(_) => reading(&node, topic),
+        };
         let result = match revision {
             None => list(&node, topic).await.map(Some),
-            Some(from) => changes(&node, topic, from).await,
+            Some(from) => changes(&node, topic, from, reading).await,
         };
         match result {
             Ok(next) => {
                 lost.regained(&node, topic);
                 let changed = next.is_some() && next != revision;
-                if topic == Topic::Config && next.is_some() {
+                let current = next.is_some() && reading == Reading::Current;
+                if topic == Topic::Config && current {
                     node.belief.borrow_mut().prove(sent);
                 }
                 revision = next;
@@ -160,6 +166,9 @@
 
 /// Reads the whole kind. Returns the revision to watch from.
 async fn list(node: &Rc<Node>, topic: Topic) -> Result<u64, StoreError> {
+    if topic == Topic::Config {
+        node.seek_version();
+    }
     let (objects, revision) = node.store.list(topic.kind()).await?;
     let now = node.now();
     match topic {
@@ -179,8 +188,14 @@
 
 /// Waits for changes. Returns the revision to go on from, or `None` if the
 /// kind must be listed again.
-async fn changes(node: &Rc<Node>, topic: Topic, from: u64) -> Result<Option<u64>, StoreError> {
-    let changes = match watch(node, topic, from).await? {
+async fn changes(
+    node: &Rc<Node>,
+    topic: Topic,
+    from: u64,
+    reading: Reading,
+) -> Result<Option<u64>, StoreError> {
+    let changes = match watch(node, topic, from, reading).await? {
+        None if topic == Topic::Config && node.is_behind() => return Ok(None),
         None => return Ok(Some(from)),
         Some(Watched::Changes(changes)) => changes,
         Some(Watched::HistoryGone) => {
@@ -210,8 +225,8 @@
 /// How current the next watch must be.
 fn reading(node: &Node, topic: Topic) -> Reading {
     let late = match topic {
-        // Only a current answer proves the configuration.
-        Topic::Config => false,
+        // Late answers prove nothing, but peers may.
+        Topic::Config => proof::comes_from_peers(node),
         Topic::Servers => node.is_informed(),
         Topic::Members => !node.follows_store(),
     };
@@ -222,30 +237,42 @@
     }
 }
 
-/// Watches once. `None` if the peers fell silent that this entry relied on.
-async fn watch(node: &Rc<Node>, topic: Topic, from: u64) -> Result<Option<Watched>, StoreError> {
-    let reading = reading(node, topic);
-    let call = node
-        .store
-        .watch(topic.kind(), from, topic.wait(), reading)
-        .map(|result| result.map(Some));
-    if topic != Topic::Servers {
-        return call.await;
-    }
+/// Watches once. `None` if a late answer no longer does.
+async fn watch(
+    node: &Rc<Node>,
+    topic: Topic,
+    from: u64,
+    reading: Reading,
+) -> Result<Option<Watched>, StoreError> {
+    let wait = wait(node, topic);
+    let call = node.store.watch(topic.kind(), from, wait, reading);
     let watched = match reading {
-        Reading::Current => call.await,
+        Reading::Current => call.await.map(Some),
         Reading::Late => select! {
-            result = call.fuse() => result,
-            () = until_uninformed(node).fuse() => Ok(None),
+            result = call.fuse() => result.map(Some),
+            () = until_current(node, topic).fuse() => Ok(None),
         },
     };
-    let current = reading == Reading::Current && watched.is_ok();
-    node.servers_read.set(current.then(|| node.now()));
+    if topic == Topic::Servers {
+        let current = reading == Reading::Current && watched.is_ok();
+        node.servers_read.set(current.then(|| node.now()));
+    }
     watched
 }
 
-async fn until_uninformed(node: &Node) {
-    while node.is_informed() {
+/// Time that a watch waits. Its answer proves the configuration, which must be
+/// renewed before the proof is too old.
+fn wait(node: &Node, topic: Topic) -> Duration {
+    let stale_after = node.settings.bounds.stale_after();
+    match (topic, stale_after) {
+        (Topic::Config, Some(bound)) => topic.wait().min(bound.mul_f64(0.4)),
+        _ => topic.wait(),
+    }
+}
+
+/// Waits until late answers no longer do.
+async fn until_current(node: &Node, topic: Topic) {
+    while reading(node, topic) == Reading::Late {
         pause(LOOK_MS).await;
     }
 }
