Wait for all engines at the start before ordering others

Cause: engines register up to 3 s after the start. Ruled out: slow growth of orders (they follow the demand within 0.3 s, the rest is boot time). Change: without demand nothing is ordered until no further engine has registered for 1 s, at most 5 s. Test: engines_that_register_late_are_waited_for fails before, passes after.

--- a/crates/duties/src/scaler.rs
+++ b/crates/duties/src/scaler.rs
@@ -23,6 +23,13 @@
 /// Time for which the greatest need is remembered.
 const NEED_HELD: Duration = Duration::from_secs(10);
 
+/// Time without a further engine after which all that were there at the start
+/// are taken to be known.
+const ALL_KNOWN: Duration = Duration::from_millis(1000);
+
+/// Longest wait for the engines that were there at the start.
+const KNOWN_MOST: Duration = Duration::from_secs(5);
+
 /// What the scaler aims at.
 #[derive(Debug, Clone, Copy)]
 pub struct ScalePolicy {
@@ -93,6 +100,14 @@
     at: Instant,
 }
 
+/// Engines that register one after the other.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    count: u32,
+    first: Instant,
+    last: Instant,
+}
+
 type Numbers = HashMap<Name, u32>;
 
 /// Orders engines of one service.
@@ -107,6 +122,8 @@
     refused: HashMap<(Name, bool), Instant>,
     surplus: HashMap<bool, Instant>,
     held: Vec<(Instant, u32)>,
+    /// Engines at the start, as far as they are known.
+    arrival: Option<Arrival>,
     /// Need before there was any demand, from the on-demand engines seen.
     unknown: u32,
 }
@@ -133,6 +150,9 @@
     /// engines; 0 if there was no demand yet, in which case on-demand engines
     /// are replaced as soon as reclaimable ones are ordered.
     pub fn plan(&mut self, service: &Scaled<'_>, busy: f64, now: Instant) -> Vec<Order> {
+        if busy == 0.0 && self.given.is_empty() && !self.knows_all(service.fleet, now) {
+            return Vec::new();
+        }
         let need = self.need(service.fleet, busy, now);
         let planned = self.spot(service, need, now);
         let total = self.on_demand_total(service, need, busy > 0.0, now);
@@ -165,6 +185,23 @@
         orders
     }
 
+    /// Whether no further engine of those at the start is expected. Orders given
+    /// before would give engines back that are not known yet.
+    fn knows_all(&mut self, fleet: &Fleet, now: Instant) -> bool {
+        let count = fleet.values().sum();
+        let arrival = self.arrival.get_or_insert(Arrival {
+            count,
+            first: now,
+            last: now,
+        });
+        if count != arrival.count {
+            arrival.count = count;
+            arrival.last = now;
+        }
+        now.saturating_duration_since(arrival.last) >= ALL_KNOWN
+            || now.saturating_duration_since(arrival.first) >= KNOWN_MOST
+    }
+
     /// Engines that are needed now, or were a short time ago.
     fn need(&mut self, fleet: &Fleet, busy: f64, now: Instant) -> u32 {
         let need = if busy > 0.0 {
--- a/crates/duties/tests/scaler.rs
+++ b/crates/duties/tests/scaler.rs
@@ -105,6 +105,27 @@
     }
 }
 
+/// caroni-refill-grown and rph-hinnad-grown: orders given when 20 of 60 engines
+/// had registered left 20 for a demand of 31.
+#[test]
+fn engines_that_register_late_are_waited_for() {
+    let mut cloud = Cloud::new();
+    cloud.scaling.max = 24;
+    cloud.fleet.clear();
+    let mut scaler = Scaler::default();
+    for second in 0..3 {
+        let known = 5 * (second as u32 + 1);
+        for domain in cloud.domains.clone() {
+            cloud.fleet.insert((domain, false), known);
+        }
+        cloud.run(&mut scaler, second, second + 1, 0.0);
+    }
+    assert_eq!(cloud.orders, []);
+    cloud.run(&mut scaler, 3, 12, 0.0);
+    assert!(cloud.count(true) >= 36, "{} engines", cloud.count(true));
+    assert_eq!(cloud.count(false), 0);
+}
+
 #[test]
 fn reclaimable_engines_replace_on_demand_ones() {
     let mut cloud = Cloud::new();
