Tell peers of upstreams whose entries went missing

Change: the exchange names what left or went missing in the last 10 s, with the revision at which an entry was missing; older changes of it, read late, do not bring it back. Entries that lapse are told only after the hold.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -45,6 +45,8 @@
     pub state: UpstreamState,
     /// Whether it may be reclaimed.
     pub spot: bool,
+    /// Revision of its entry in the store.
+    pub revision: u64,
 }
 
 /// A run that is known to leave.
@@ -55,12 +57,21 @@
     ends: Option<Instant>,
 }
 
+/// A run whose entry was removed.
+#[derive(Debug, Clone, Copy)]
+struct Gone {
+    /// Revision of the store up to which the entry was missing.
+    revision: u64,
+    heard: Instant,
+}
+
 /// Registered upstreams, and those whose leaving was heard of. A run that was
 /// seen draining never counts as ready again, whichever message says so.
 #[derive(Debug, Default)]
 pub struct Directory {
     upstreams: HashMap<Name, Upstream>,
     leaving: HashMap<UpstreamKey, Leaving>,
+    gone: HashMap<UpstreamKey, Gone>,
     lapsing: HashSet<Name>,
     hold: Option<Instant>,
     loaded: bool,
@@ -70,6 +81,10 @@
     /// Time for which a leaving run is remembered.
     const REMEMBER: Duration = Duration::from_secs(120);
 
+    /// Time for which peers are told of a leaving run. An entry that hears none
+    /// for longer reads the store itself.
+    const NEWS: Duration = Duration::from_secs(10);
+
     /// Keeps upstreams whose entries are missing until `until`: entries lapse
     /// while the store is away and are written again after its return.
     pub fn hold_lapsed(&mut self, until: Instant) {
@@ -81,8 +96,8 @@
         self.loaded
     }
 
-    /// Takes over a full list.
-    pub fn replace(&mut self, list: Vec<Upstream>, now: Instant) {
+    /// Takes over a full list as of `revision`.
+    pub fn replace(&mut self, list: Vec<Upstream>, revision: u64, now: Instant) {
         self.loaded = true;
         let ids: HashSet<Name> = list.iter().map(|up| up.key.id.clone()).collect();
         let gone: Vec<Name> = self
@@ -92,19 +107,24 @@
             .cloned()
             .collect();
         for id in gone {
-            self.remove(&id, now);
+            self.remove(&id, revision, now);
         }
         for upstream in list {
             self.update(upstream, now);
         }
         self.leaving
             .retain(|_, leaving| now.saturating_duration_since(leaving.heard) < Self::REMEMBER);
+        self.gone
+            .retain(|_, gone| now.saturating_duration_since(gone.heard) < Self::REMEMBER);
     }
 
     /// Takes over one entry. Returns whether its run is newly leaving.
     pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
         let key = upstream.key.clone();
         let state = upstream.state;
+        if self.is_gone(&key, upstream.revision) {
+            return false;
+        }
         self.lapsing.remove(&key.id);
         self.upstreams.insert(key.id.clone(), upstream);
         match state {
@@ -119,15 +139,49 @@
         }
     }
 
-    /// Forgets an upstream whose entry is gone, at once or when the hold ends.
-    pub fn remove(&mut self, id: &Name, now: Instant) {
+    /// Forgets an upstream whose entry is gone at `revision`, at once or when
+    /// the hold ends.
+    pub fn remove(&mut self, id: &Name, revision: u64, now: Instant) {
         if self.hold.is_some_and(|until| now < until) {
             self.lapsing.insert(id.clone());
-        } else {
-            self.upstreams.remove(id);
+        } else if let Some(upstream) = self.upstreams.remove(id) {
+            let heard = now;
+            self.gone.insert(upstream.key, Gone { revision, heard });
         }
     }
 
+    /// Forgets a run whose entry a peer found missing at `revision`, unless it
+    /// was written since. Returns whether this was news.
+    pub fn forget(&mut self, key: &UpstreamKey, revision: u64, now: Instant) -> bool {
+        if self.is_gone(key, revision) {
+            return false;
+        }
+        let heard = now;
+        self.gone.insert(key.clone(), Gone { revision, heard });
+        let known = self.upstreams.get(&key.id);
+        let present = known.is_some_and(|up| up.key == *key && up.revision <= revision);
+        if present {
+            self.upstreams.remove(&key.id);
+        }
+        present
+    }
+
+    fn is_gone(&self, key: &UpstreamKey, revision: u64) -> bool {
+        self.gone
+            .get(key)
+            .is_some_and(|gone| revision <= gone.revision)
+    }
+
+    /// Runs whose entries went missing lately, with the revision at which they
+    /// were.
+    pub fn gone(&self, now: Instant) -> Vec<(UpstreamKey, u64)> {
+        self.gone
+            .iter()
+            .filter(|(_, gone)| now.saturating_duration_since(gone.heard) < Self::NEWS)
+            .map(|(key, gone)| (key.clone(), gone.revision))
+            .collect()
+    }
+
     /// Forgets upstreams whose entries are still missing after the hold.
     /// Returns how many these were.
     pub fn expire(&mut self, now: Instant) -> usize {
@@ -137,7 +191,8 @@
         self.hold = None;
         let lapsed: Vec<Name> = self.lapsing.drain().collect();
         for id in &lapsed {
-            self.upstreams.remove(id);
+            let last = self.upstreams.get(id).map_or(0, |up| up.revision);
+            self.remove(id, last, now);
         }
         lapsed.len()
     }
@@ -163,9 +218,17 @@
         Some(ends.saturating_duration_since(now))
     }
 
-    /// Runs that are leaving.
-    pub fn leaving(&self) -> impl Iterator<Item = &UpstreamKey> {
-        self.leaving.keys()
+    /// Runs of which it became known lately that they leave.
+    pub fn news(&self, now: Instant) -> impl Iterator<Item = &UpstreamKey> {
+        self.leaving
+            .iter()
+            .filter(move |(_, leaving)| now.saturating_duration_since(leaving.heard) < Self::NEWS)
+            .map(|(key, _)| key)
+    }
+
+    /// Number of runs that are leaving.
+    pub fn leaving(&self) -> usize {
+        self.leaving.len()
     }
 
     /// Whether a run may be given new requests.
--- a/crates/catalog/tests/all.rs
+++ b/crates/catalog/tests/all.rs
@@ -145,10 +145,19 @@
         domain: "keila".into(),
         slots: 4,
         state,
+        revision: born,
         spot: true,
     }
 }
 
+/// A ready upstream whose entry was written at `revision`.
+fn written(id: &str, revision: u64) -> Upstream {
+    Upstream {
+        revision,
+        ..upstream(id, 1, UpstreamState::Ready)
+    }
+}
+
 fn ready(directory: &Directory) -> usize {
     directory.ready("llm").count()
 }
@@ -182,19 +191,52 @@
     let start = Instant::now();
     let at = |millis| start + Duration::from_millis(millis);
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", 1, UpstreamState::Ready)], at(0));
-    directory.replace(Vec::new(), at(1));
+    directory.replace(vec![upstream("a", 1, UpstreamState::Ready)], 1, at(0));
+    directory.replace(Vec::new(), 2, at(1));
     assert_eq!(ready(&directory), 0);
 
-    directory.replace(vec![upstream("a", 1, UpstreamState::Ready)], at(2));
+    directory.replace(vec![written("a", 3)], 3, at(2));
     directory.hold_lapsed(at(2000));
-    directory.replace(Vec::new(), at(100));
+    directory.replace(Vec::new(), 4, at(100));
     assert_eq!(ready(&directory), 1, "it may have lapsed only");
     assert_eq!(directory.expire(at(1999)), 0);
     assert_eq!(directory.expire(at(2000)), 1);
     assert_eq!(ready(&directory), 0);
 }
 
+/// An entry that reads the store late sees older changes after a peer's news.
+#[test]
+fn entry_that_a_peer_found_missing_is_gone_until_it_is_written_again() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.update(written("a", 5), now);
+    let key = written("a", 5).key;
+    assert!(!directory.forget(&key, 4, now), "it was written since");
+    assert_eq!(ready(&directory), 1);
+    assert!(directory.forget(&key, 8, now));
+    directory.update(written("a", 7), now);
+    assert_eq!(ready(&directory), 0, "that change came before");
+    directory.update(written("a", 9), now);
+    assert_eq!(ready(&directory), 1);
+}
+
+#[test]
+fn peers_are_told_of_entries_that_went_missing_lately() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut directory = Directory::default();
+    directory.update(written("a", 5), at(0));
+    directory.update(written("b", 6), at(0));
+    directory.remove(&"a".into(), 8, at(0));
+    assert_eq!(directory.gone(at(1000)), [(written("a", 5).key, 8)]);
+    directory.hold_lapsed(at(2000));
+    directory.remove(&"b".into(), 9, at(1000));
+    assert_eq!(directory.gone(at(1500)).len(), 1, "it may have lapsed only");
+    directory.expire(at(2000));
+    assert!(directory.gone(at(3000)).contains(&(written("b", 6).key, 6)));
+    assert_eq!(directory.gone(at(20_000)), []);
+}
+
 #[test]
 fn lapsed_entry_that_comes_back_stays() {
     let start = Instant::now();
@@ -202,7 +244,7 @@
     let mut directory = Directory::default();
     directory.hold_lapsed(at(2000));
     directory.update(upstream("a", 1, UpstreamState::Ready), at(0));
-    directory.remove(&"a".into(), at(10));
+    directory.remove(&"a".into(), 2, at(10));
     directory.update(upstream("a", 1, UpstreamState::Ready), at(500));
     assert_eq!(directory.expire(at(2000)), 0);
     assert_eq!(ready(&directory), 1);
--- a/crates/dispatch/tests/choose.rs
+++ b/crates/dispatch/tests/choose.rs
@@ -36,6 +36,7 @@
             domain: if index % 2 == 0 { "even" } else { "odd" }.into(),
             slots: 64,
             state: UpstreamState::Ready,
+            revision: 1,
             spot: false,
         })
         .collect()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -44,9 +44,6 @@
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60 * 1024;
 
-/// Leaving upstreams that one message names.
-const MAX_LEAVING: usize = 64;
-
 /// Silence after which a peer no longer counts as heard.
 pub(crate) const HEARD: Duration = Duration::from_millis(1500);
 
@@ -242,6 +239,8 @@
     loads: Vec<LoadReport>,
     demand: Vec<(Name, f64)>,
     leaving: Vec<UpstreamKey>,
+    /// Upstreams whose entries are missing, and at which revision.
+    gone: Vec<(UpstreamKey, u64)>,
     crashes: Vec<(Digest, UpstreamKey)>,
     /// Age in milliseconds of the last news of the lease's holder, 0 from itself.
     holder_age: Option<u64>,
@@ -348,6 +347,7 @@
         .wall()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |time| time.as_millis() as i64);
+    let directory = node.directory.borrow();
     let message = Message {
         from: node.settings.name.clone(),
         incarnation: node.incarnation,
@@ -356,13 +356,8 @@
         begun: node.usage.borrow().report(),
         loads: node.book.borrow().report(),
         demand: node.demand.borrow_mut().report(now),
-        leaving: node
-            .directory
-            .borrow()
-            .leaving()
-            .take(MAX_LEAVING)
-            .cloned()
-            .collect(),
+        leaving: directory.news(now).cloned().collect(),
+        gone: directory.gone(now),
         crashes: node.suspects.borrow().report(),
         holder_age: node.holder_age(now).map(|age| age.as_millis() as u64),
         version: node.belief.borrow().version().unwrap_or(0),
@@ -395,6 +390,9 @@
     for key in &message.leaving {
         node.upstream_leaves(key, from);
     }
+    for (key, revision) in &message.gone {
+        node.upstream_gone(key, *revision, from);
+    }
     for (digest, upstream) in &message.crashes {
         node.suspects.borrow_mut().accuse(*digest, upstream, now);
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -214,7 +214,7 @@
             ("holds_lease", i64::from(self.holds_lease.get())),
             ("open_requests", self.open.get() as i64),
             ("ready", i64::from(self.is_ready())),
-            ("upstreams_leaving", directory.leaving().count() as i64),
+            ("upstreams_leaving", directory.leaving() as i64),
             ("upstreams_ready", ready as i64),
             ("entries", members.count() as i64),
             (
@@ -245,6 +245,18 @@
         }
     }
 
+    /// Notes that a peer found an upstream's entry missing.
+    pub(crate) fn upstream_gone(&self, key: &UpstreamKey, revision: u64, source: &str) {
+        let now = self.now();
+        if self.directory.borrow_mut().forget(key, revision, now) {
+            log::info!(
+                target: "lycheehaven",
+                upstream = &*key.id, born = key.born, revision = revision, source = source;
+                "upstream is gone"
+            );
+        }
+    }
+
     /// Notes that an upstream can't be reached or is gone.
     pub(crate) fn upstream_down(&self, key: &UpstreamKey, cause: &str) {
         let now = self.now();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -9,6 +9,7 @@
 use lycheehaven_adapter::config;
 use lycheehaven_adapter::servers;
 use lycheehaven_adapter::store;
+use lycheehaven_adapter::store::Change;
 use lycheehaven_adapter::store::Object;
 use lycheehaven_adapter::store::Reading;
 
@@ -188,7 +189,9 @@
         }
         Topic::Servers => {
             let upstreams = objects.iter().filter_map(servers::read).collect();
-            node.directory.borrow_mut().replace(upstreams, now);
+            node.directory
+                .borrow_mut()
+                .replace(upstreams, revision, now);
         }
         Topic::Members => node.members.borrow_mut().replace(&objects),
     }
@@ -220,7 +223,7 @@
                     adopt_config(node, &change.object);
                 }
             }
-            Topic::Servers => adopt_server(node, &change.object, change.deleted, now),
+            Topic::Servers => adopt_server(node, change, changes.revision, now),
             Topic::Members => node
                 .members
                 .borrow_mut()
@@ -315,15 +318,17 @@
     }
 }
 
-fn adopt_server(node: &Node, object: &Object, deleted: bool, now: Instant) {
+/// Takes over a change that is known at `revision`.
+fn adopt_server(node: &Node, change: &Change, revision: u64, now: Instant) {
+    let object = &change.object;
     let id = object.name.as_str().into();
-    if deleted {
-        node.directory.borrow_mut().remove(&id, now);
+    if change.deleted {
+        node.directory.borrow_mut().remove(&id, revision, now);
         return;
     }
     let Some(upstream) = servers::read(object) else {
         // An entry that became unreadable names no upstream to use.
-        node.directory.borrow_mut().remove(&id, now);
+        node.directory.borrow_mut().remove(&id, revision, now);
         return;
     };
     let key = upstream.key.clone();
