Insure against the loss of two further domains while engines are scarce

Change: while reclaimable engines are refused, on-demand ones cover 0.8 of the need without the two domains that hold most, not one. Not measured yet.

--- a/crates/duties/src/scaler.rs
+++ b/crates/duties/src/scaler.rs
@@ -38,9 +38,11 @@
     /// Reclaimable engines for each engine that is needed, so that what is
     /// left suffices when a failure domain's are taken away.
     pub reserve: f64,
-    /// Part of the need that must be left if a further failure domain loses
-    /// its reclaimable engines while these are scarce.
+    /// Part of the need that must be left if further failure domains lose
+    /// their reclaimable engines while these are scarce.
     pub insured: f64,
+    /// Failure domains that may lose them before on-demand engines have booted.
+    pub exposed: usize,
     /// Part of the present engines that is taken to be needed before there was
     /// any demand.
     pub unknown: f64,
@@ -52,6 +54,7 @@
             busy: 0.85,
             reserve: 1.6,
             insured: 0.8,
+            exposed: 2,
             unknown: 0.65,
         }
     }
@@ -276,7 +279,9 @@
             .sum();
         let mut wanted = need.saturating_sub(running + coming);
         if self.is_scarce(now) {
-            let exposed = domains.iter().map(ready).max().unwrap_or(0);
+            let mut ready: Vec<u32> = domains.iter().map(ready).collect();
+            ready.sort_unstable();
+            let exposed: u32 = ready.iter().rev().take(self.policy.exposed).sum();
             let insured = (f64::from(need) * self.policy.insured).ceil() as u32;
             wanted = wanted.max(insured.saturating_sub(running - exposed));
         }
--- a/crates/duties/tests/scaler.rs
+++ b/crates/duties/tests/scaler.rs
@@ -189,3 +189,20 @@
         assert!(both <= cloud.scaling.max, "{domain}: {both}");
     }
 }
+
+/// rph-hinnad-grown trouble-1: one domain lost its reclaimable engines, and six
+/// seconds later two more at once; on-demand engines take four to boot.
+#[test]
+fn two_further_domains_may_fail_while_reclaimable_engines_are_scarce() {
+    let mut cloud = Cloud::new();
+    cloud.scaling.max = 24;
+    let mut scaler = Scaler::default();
+    cloud.run(&mut scaler, 0, 12, 26.0);
+    cloud.dry = true;
+    cloud.reclaim("d");
+    cloud.run(&mut scaler, 12, 18, 26.0);
+    cloud.reclaim("c");
+    cloud.reclaim("b");
+    let left = cloud.count(true) + cloud.count(false);
+    assert!(left >= 24, "{left} engines for the work of 26");
+}
