Learn how much later a service's answers begin than expected

Change: reports count for 3 s; the ratio of taken to expected time is also learned over a whole service and multiplies the expected delay, by which requests are refused. Not measured yet.

--- a/crates/dispatch/src/book.rs
+++ b/crates/dispatch/src/book.rs
@@ -12,8 +12,9 @@
 /// Ranks that are told apart; the last one stands for all less urgent ones.
 pub const RANKS: usize = 4;
 
-/// Age at which a peer's report no longer counts.
-const STALE: Duration = Duration::from_secs(2);
+/// Age at which a peer's report no longer counts. Among 88 entries a peer is
+/// heard every 1.5 s on average.
+const STALE: Duration = Duration::from_secs(3);
 
 /// Age at which the load that an upstream told no longer counts.
 const TOLD_STALE: Duration = Duration::from_millis(500);
@@ -30,6 +31,12 @@
 /// Weight of the newest answer in the slowness.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 
+/// Weight of the newest answer in the lateness of a service.
+const LATENESS_WEIGHT: f64 = 0.1;
+
+/// Bounds of the lateness.
+const LATENESS_RANGE: (f64, f64) = (0.8, 4.0);
+
 /// Bounds of the slowness.
 const SLOWNESS_RANGE: (f64, f64) = (0.7, 8.0);
 
@@ -135,6 +142,8 @@
     entries: HashMap<UpstreamKey, Entry>,
     peers: HashMap<Name, (Instant, Vec<LoadReport>)>,
     parts: HashMap<(UpstreamKey, Name), Instant>,
+    /// By service, how much later answers begin than their load lets expect.
+    lateness: HashMap<Name, f64>,
 }
 
 impl LoadBook {
@@ -163,7 +172,13 @@
     }
 
     /// Notes how long an answer took, and how long was expected.
-    pub fn timing(&mut self, upstream: &UpstreamKey, taken: Duration, expected: Duration) {
+    pub fn timing(
+        &mut self,
+        service: &Name,
+        upstream: &UpstreamKey,
+        taken: Duration,
+        expected: Duration,
+    ) {
         let entry = self.entries.entry(upstream.clone()).or_default();
         let ratio =
             (taken + SLOWNESS_FLOOR).as_secs_f64() / (expected + SLOWNESS_FLOOR).as_secs_f64();
@@ -171,6 +186,16 @@
         // What was expected already holds the present slowness.
         let measured = (ratio * entry.slowness).clamp(low, high);
         entry.slowness += SLOWNESS_WEIGHT * (measured - entry.slowness);
+        let lateness = self.lateness.entry(service.clone()).or_insert(1.0);
+        let (low, high) = LATENESS_RANGE;
+        let measured = (ratio * *lateness).clamp(low, high);
+        *lateness += LATENESS_WEIGHT * (measured - *lateness);
+    }
+
+    /// How much later answers of a service begin than expected: what peers have
+    /// sent since they were heard makes all of them late.
+    pub fn lateness(&self, service: &Name) -> f64 {
+        self.lateness.get(service).copied().unwrap_or(1.0)
     }
 
     /// Leaves an upstream out for a while, longer with each failure in a row.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -141,7 +141,7 @@
             .map(|part| part.tokens)
             .sum();
         let unread = ask.tokens.saturating_sub(shared) + missed;
-        let slowness = book.slowness(&upstream.key);
+        let slowness = book.slowness(&upstream.key) * book.lateness(&upstream.service);
         let delay = self.delay(upstream, unread, ask, &load).mul_f64(slowness);
         let target = ask.target.as_secs_f64().max(0.001);
         let slots = f64::from(upstream.slots.max(1));
--- a/crates/dispatch/tests/choose.rs
+++ b/crates/dispatch/tests/choose.rs
@@ -170,7 +170,8 @@
     let second = chosen(&upstreams, &ask(&prompt, 1, 1), &book, now);
     assert_ne!(second, home);
     for _ in 0..20 {
-        book.timing(&second, Duration::from_secs(2), Duration::from_millis(200));
+        let (taken, expected) = (Duration::from_secs(2), Duration::from_millis(200));
+        book.timing(&"llm".into(), &second, taken, expected);
     }
     let third = chosen(&upstreams, &ask(&prompt, 1, 1), &book, now);
     assert_ne!(third, second);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -201,7 +201,7 @@
             Ok(Ok(response)) => {
                 let taken = node.now().saturating_duration_since(sent);
                 let mut book = node.book.borrow_mut();
-                book.timing(&target.key, taken, chosen.expected);
+                book.timing(&target.service, &target.key, taken, chosen.expected);
                 drop(book);
                 return classify(node, job, target.clone(), response, channel, ticket);
             }
