Record the total spending where many entries run

Cause, by reading: the record of spending was empty above 32 entries, as it grows with them, so a restart of all forgot what was spent. Change: it then holds the totals by workspace. An entry that starts takes out of them what peers tell that were running before the record.

--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -10,6 +10,7 @@
 use lycheehaven_duties::RunCounts;
 use lycheehaven_guard::Limit;
 use lycheehaven_guard::RunSpending;
+use lycheehaven_types::Name;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,7 +22,8 @@
 /// Kind and name of the record.
 const COUNTS: (&str, &str) = ("lycheehaven-counts", "last");
 
-/// Entries up to which usage counts are kept: the record grows with them.
+/// Entries up to which the counts of each are kept, as the record grows with
+/// them. Of more entries only the total spending is.
 const MOST_ENTRIES: usize = 32;
 
 /// Pause after a failed call, in milliseconds.
@@ -33,6 +35,9 @@
     at_ms: i64,
     /// Spending of each run of an entry.
     spending: Vec<RunSpending>,
+    /// Spending of all entries by workspace, where there are too many to name.
+    #[serde(default)]
+    totals: Vec<(Name, f64)>,
     /// Usage counts of each run of an entry.
     usage: Vec<RunCounts>,
 }
@@ -65,23 +70,30 @@
 
 /// Writes the record.
 pub(crate) async fn write(node: &Node) -> Result<(), StoreError> {
-    let me = &node.settings.name;
-    let run = node.incarnation;
+    let record = present(node);
+    let (kind, name) = COUNTS;
+    match node.store.replace(kind, name, None, &record).await? {
+        Written::Done(_) => Ok(()),
+        Written::Conflict => node.store.create(kind, name, &record).await.map(|_| ()),
+    }
+}
+
+fn present(node: &Node) -> Record {
+    let (me, run) = (&node.settings.name, node.incarnation);
+    let mut allotments = node.allotments.borrow_mut();
     let mut record = Record {
         at_ms: node.wall_millis(),
         spending: Vec::new(),
+        totals: Vec::new(),
         usage: Vec::new(),
     };
     if node.members.borrow().count() <= MOST_ENTRIES {
-        let mut allotments = node.allotments.borrow_mut();
         record.spending = allotments.snapshot(me, run, node.now());
         record.usage = node.usage.borrow().snapshot(me, run);
+    } else {
+        record.totals = allotments.recorded_totals(node.now());
     }
-    let (kind, name) = COUNTS;
-    match node.store.replace(kind, name, None, &record).await? {
-        Written::Done(_) => Ok(()),
-        Written::Conflict => node.store.create(kind, name, &record).await.map(|_| ()),
-    }
+    record
 }
 
 /// Reads the record once, before the entry takes callers.
@@ -120,7 +132,9 @@
         return;
     };
     let me = &node.settings.name;
+    node.recorded.set(Some(at));
     let mut allotments = node.allotments.borrow_mut();
+    allotments.adopt_totals(record.totals, at);
     for run in record.spending {
         // The earlier run on this VM is no peer that could be heard again.
         let entry = if run.entry == *me {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -233,6 +233,8 @@
 pub(crate) struct Message {
     from: Name,
     incarnation: u64,
+    /// Milliseconds since the sender's process started.
+    uptime_ms: u64,
     wall_ms: i64,
     spent: Vec<(Name, f64)>,
     begun: Vec<Counts>,
@@ -351,6 +353,7 @@
     let message = Message {
         from: node.settings.name.clone(),
         incarnation: node.incarnation,
+        uptime_ms: now.saturating_duration_since(node.started).as_millis() as u64,
         wall_ms,
         spent: node.allotments.borrow_mut().report(now),
         begun: node.usage.borrow().report(),
@@ -369,6 +372,16 @@
     Datagram::Report(Box::new(message)).encode()
 }
 
+fn hear_spending(node: &Node, message: &Message, now: Instant) {
+    let (from, run) = (&message.from, message.incarnation);
+    let started = now.checked_sub(Duration::from_millis(message.uptime_ms));
+    let mut allotments = node.allotments.borrow_mut();
+    if node.recorded.get().is_some_and(|at| started < Some(at)) {
+        allotments.cover(from, run, &message.spent);
+    }
+    allotments.hear(from, run, &message.spent, now);
+}
+
 fn adopt(node: &Rc<Node>, message: Message) {
     let now = node.now();
     let from = &message.from;
@@ -379,9 +392,7 @@
     node.wall
         .borrow_mut()
         .hear(from, message.wall_ms, node.clock.wall(), now);
-    node.allotments
-        .borrow_mut()
-        .hear(from, message.incarnation, &message.spent, now);
+    hear_spending(node, &message, now);
     node.usage
         .borrow_mut()
         .hear(from, message.incarnation, message.begun);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -54,6 +54,8 @@
     pub(crate) policy: Policy,
     /// Whether the counts from before this entry's start have been read.
     pub(crate) counts_known: Cell<bool>,
+    /// When the counts from before this entry's start were recorded.
+    pub(crate) recorded: Cell<Option<Instant>>,
     /// Whether this entry holds the lease.
     pub(crate) holds_lease: Cell<bool>,
     /// When a peer last held the lease, as far as is known.
@@ -110,6 +112,7 @@
             metrics: Metrics::new(),
             policy: Policy::default(),
             counts_known: Cell::new(false),
+            recorded: Cell::new(None),
             holds_lease: Cell::new(false),
             holder_heard: Cell::new(None),
             servers_read: Cell::new(None),
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -75,6 +75,9 @@
 /// Stands in a record for spending that it probably lacks.
 const EXPECTED: &str = "expected";
 
+/// Stands for the spending of all entries in a record that has only totals.
+const RECORDED: &str = "recorded";
+
 impl Limit {
     /// A limit of `units` that may be exceeded by `excess` over all entries.
     pub fn new(units: f64, excess: f64) -> Self {
@@ -178,6 +181,47 @@
         peers.chain([own, expected]).collect()
     }
 
+    /// What each workspace will probably have spent in the last window when the
+    /// next record is kept, over all entries.
+    pub fn recorded_totals(&mut self, now: Instant) -> Vec<(Name, f64)> {
+        let expected: HashMap<Name, f64> = self.expect_spending(now).into_iter().collect();
+        self.workspaces()
+            .into_iter()
+            .map(|workspace| {
+                let more = expected.get(&workspace).copied().unwrap_or(0.0);
+                let total = self.total(&workspace, now) + more;
+                (workspace, total)
+            })
+            .collect()
+    }
+
+    /// Takes over recorded totals of all entries, as of `at`.
+    pub fn adopt_totals(&mut self, totals: Vec<(Name, f64)>, at: Instant) {
+        let totals = PeerSpend {
+            incarnation: 0,
+            heard: at,
+            spent: totals.into_iter().collect(),
+        };
+        self.peers.insert(RECORDED.into(), totals);
+    }
+
+    /// Takes what a peer tells for the first time out of the recorded totals,
+    /// which hold it if the peer was running before them.
+    pub fn cover(&mut self, peer: &Name, incarnation: u64, spent: &[(Name, f64)]) {
+        let known = self.peers.get(peer);
+        if known.is_some_and(|known| known.incarnation == incarnation) {
+            return;
+        }
+        let Some(recorded) = self.peers.get_mut(RECORDED) else {
+            return;
+        };
+        for (workspace, units) in spent {
+            if let Some(total) = recorded.spent.get_mut(workspace) {
+                *total = (*total - units).max(0.0);
+            }
+        }
+    }
+
     /// Notes the totals as recorded and returns what will be spent until the
     /// next record if spending rises on as it did since the last one.
     fn expect_spending(&mut self, now: Instant) -> Vec<(Name, f64)> {
--- a/crates/guard/tests/allotments.rs
+++ b/crates/guard/tests/allotments.rs
@@ -183,6 +183,24 @@
     );
 }
 
+/// Of many entries the record holds totals only; peers that go on tell most of
+/// it themselves.
+#[test]
+fn recorded_total_counts_only_what_no_peer_tells() {
+    let names: Vec<Name> = vec!["a".into(), "b".into()];
+    let start = Instant::now();
+    let workspace: Name = "w".into();
+    let mut entry = Allotments::new(WINDOW);
+    entry.adopt_totals(vec![(workspace.clone(), 5000.0)], start);
+    assert_eq!(entry.total(&workspace, start), 5000.0);
+    let told = [(workspace.clone(), 4000.0)];
+    for _ in 0..2 {
+        entry.cover(&names[1], 1, &told);
+        entry.hear(&names[1], 1, &told, start);
+        assert_eq!(entry.total(&workspace, start), 5000.0);
+    }
+}
+
 proptest! {
     /// Day all-killed-after-ack, seed 283464547088: a workspace that sends far
     /// beyond its limit when all entries are killed; only the record, looked at
@@ -192,6 +210,7 @@
         asked in 10.0_f64..33.0,
         killed_at in 4_u64..140,
         offset in 0_u64..5,
+        only_totals in any::<bool>(),
     ) {
         // Units of a thousand tokens: 78 a second, a burst of as much. The
         // workspace asks for up to 330 a second, 4.2 times its rate.
@@ -200,6 +219,7 @@
         let limit = Limit::new(units, excess);
         let mut fleet = Fleet::new(7);
         let mut record = Vec::new();
+        let mut totals = Vec::new();
         let mut recorded_at = 0;
         for step in 0..200_u64 {
             let millis = step * 50;
@@ -207,6 +227,7 @@
                 let at = fleet.at(recorded_at);
                 for (index, entry) in fleet.entries.iter_mut().enumerate() {
                     *entry = Allotments::new(WINDOW);
+                    entry.adopt_totals(totals.clone(), at);
                     for run in &record {
                         let run: &RunSpending = run;
                         let own = *run.entry == *fleet.names[index];
@@ -229,7 +250,11 @@
                 let due = fleet.entries[0].record_due(&workspace, limit, now);
                 if due || millis - recorded_at >= 1000 {
                     let me = fleet.names[0].clone();
-                    record = fleet.entries[0].snapshot(&me, incarnation, now);
+                    if only_totals {
+                        totals = fleet.entries[0].recorded_totals(now);
+                    } else {
+                        record = fleet.entries[0].snapshot(&me, incarnation, now);
+                    }
                     recorded_at = millis;
                 }
             }
