Insure against as many domains as are without reclaimable engines

Change: as many further domains are taken to be exposed as have refused reclaimable engines lately; the first orders come after 1.5 s and a second without a further engine, not after 2.5 s and a second.

--- a/crates/duties/src/scaler.rs
+++ b/crates/duties/src/scaler.rs
@@ -41,8 +41,6 @@
     /// Part of the need that must be left if further failure domains lose
     /// their reclaimable engines while these are scarce.
     pub insured: f64,
-    /// Failure domains that may lose them before on-demand engines have booted.
-    pub exposed: usize,
     /// Part of the present engines that is taken to be needed before there was
     /// any demand.
     pub unknown: f64,
@@ -54,7 +52,6 @@
             busy: 0.85,
             reserve: 1.6,
             insured: 0.8,
-            exposed: 2,
             unknown: 0.65,
         }
     }
@@ -278,10 +275,12 @@
             .map(|domain| self.coming(service, domain, now))
             .sum();
         let mut wanted = need.saturating_sub(running + coming);
-        if self.is_scarce(now) {
+        let scarce = self.scarce_domains(now);
+        if scarce > 0 {
             let mut ready: Vec<u32> = domains.iter().map(ready).collect();
             ready.sort_unstable();
-            let exposed: u32 = ready.iter().rev().take(self.policy.exposed).sum();
+            // As many further domains may lose theirs before others have booted.
+            let exposed: u32 = ready.iter().rev().take(scarce).sum();
             let insured = (f64::from(need) * self.policy.insured).ceil() as u32;
             wanted = wanted.max(insured.saturating_sub(running - exposed));
         }
@@ -391,10 +390,12 @@
         }
     }
 
-    fn is_scarce(&self, now: Instant) -> bool {
+    /// Failure domains in which reclaimable engines were refused lately.
+    fn scarce_domains(&self, now: Instant) -> usize {
         self.refused
             .iter()
-            .any(|((_, spot), at)| *spot && now.saturating_duration_since(*at) < SCARCE)
+            .filter(|((_, spot), at)| *spot && now.saturating_duration_since(**at) < SCARCE)
+            .count()
     }
 
     fn is_surplus(&mut self, spot: bool, now: Instant) -> bool {
--- a/crates/duties/tests/scaler.rs
+++ b/crates/duties/tests/scaler.rs
@@ -190,19 +190,20 @@
     }
 }
 
-/// rph-hinnad-grown trouble-1: one domain lost its reclaimable engines, and six
-/// seconds later two more at once; on-demand engines take four to boot.
+/// caroni-refill-grown scale-2: two domains lost their reclaimable engines
+/// together, others followed; on-demand engines take four seconds to boot.
 #[test]
-fn two_further_domains_may_fail_while_reclaimable_engines_are_scarce() {
+fn as_many_further_domains_may_fail_as_are_without_reclaimable_engines() {
     let mut cloud = Cloud::new();
     cloud.scaling.max = 24;
     let mut scaler = Scaler::default();
     cloud.run(&mut scaler, 0, 12, 26.0);
     cloud.dry = true;
     cloud.reclaim("d");
-    cloud.run(&mut scaler, 12, 18, 26.0);
     cloud.reclaim("c");
+    cloud.run(&mut scaler, 12, 18, 26.0);
     cloud.reclaim("b");
+    cloud.reclaim("a");
     let left = cloud.count(true) + cloud.count(false);
     assert!(left >= 24, "{left} engines for the work of 26");
 }
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -42,7 +42,7 @@
 const SETTLE_SILENT_MS: i64 = 3500;
 
 /// Time after the very first start until the engines have registered.
-const SETTLE_FIRST: Duration = Duration::from_millis(2500);
+const SETTLE_FIRST: Duration = Duration::from_millis(1500);
 
 /// Time after a restart until the demand of running callers is known.
 const SETTLE_RESTART: Duration = Duration::from_millis(4000);
