--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -95,7 +95,7 @@
 
 /// Part of the target that a request may always wait: one whose own prompt takes
 /// longer than the target is not refused for its size.
-const LEAST_WAIT: f64 = 0.5;
+const LEAST_WAIT: f64 = 0.25;
 
 impl Choice<'_> {
     /// By how much the wait is too long for an answer in time. `None` if the
