Give the registered entries a module of their own

Members and their registration are members.rs now; the rule of who follows the store stands once, in catalog::informed. No change in behaviour.

--- a/crates/catalog/src/informed.rs
+++ b/crates/catalog/src/informed.rs
@@ -10,7 +10,7 @@
 use lycheehaven_types::Name;
 
 /// Entries of each failure domain that follow the store.
-pub const FOLLOWERS: usize = 2;
+const FOLLOWERS: usize = 2;
 
 /// Age of a peer's last answer from the store above which it follows it no
 /// more: its watch is renewed every 2 s.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -21,7 +21,6 @@
 pub use directory::Upstream;
 pub use directory::UpstreamKey;
 pub use directory::UpstreamState;
-pub use informed::FOLLOWERS;
 pub use informed::Informed;
 pub use informed::follows_store;
 pub use request::PromptPart;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::exchange;
 use crate::front;
 use crate::lease::LeaseHandle;
+use crate::members;
 use crate::node::Node;
 use crate::node::pause;
 use crate::node::spawn;
@@ -84,7 +85,7 @@
     spawn(watch::follow_servers(node.clone()));
     spawn(watch::follow_members(node.clone()));
     spawn(counts::load(node.clone()));
-    spawn(exchange::register(node.clone()));
+    spawn(members::register(node.clone()));
     spawn(exchange::send(node.clone(), peers.clone()));
     spawn(proof::ask(node.clone(), peers.clone()));
     spawn(exchange::receive(node.clone(), peers));
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -18,8 +18,8 @@
 
 use crate::call::post_once;
 use crate::counts;
-use crate::exchange::MEMBERS;
 use crate::lease::LeaseHandle;
+use crate::members::MEMBERS;
 use crate::node::Node;
 use crate::node::pause;
 use crate::settings::CloudSettings;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod exchange;
 mod front;
 mod lease;
+mod members;
 mod metrics;
 mod node;
 mod proof;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,7 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::evacuate::Streams;
-use crate::exchange::Members;
+use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::store::Store;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -13,7 +13,7 @@
 use lycheehaven_adapter::store::Object;
 use lycheehaven_adapter::store::Reading;
 
-use crate::exchange::MEMBERS;
+use crate::members::MEMBERS;
 use crate::node::Node;
 use crate::node::pause;
 use crate::proof;
