Take a proof only as the answer to a question of this run

Cause, by reading: a question of an earlier run of this process, answered late (a follower that was frozen meanwhile answers what waited in its socket), named a time that this run took to be its own, minutes ahead, and proved the configuration for as long. Change: the answer repeats the question with the run that asked; Belief passes over what seems to have been asked after now. Test: proof_of_a_peer_counts_from_the_question (its middle case is this one).

--- a/crates/catalog/src/belief.rs
+++ b/crates/catalog/src/belief.rs
@@ -41,6 +41,15 @@
         self.catalog.as_ref()
     }
 
+    /// Notes what a peer answered to a question sent at `asked`: that it has
+    /// `version`, which the store proved `age` before the answer.
+    pub fn prove_by_peer(&mut self, version: u64, asked: Instant, age: Duration, now: Instant) {
+        let proved = asked.checked_sub(age).filter(|_| asked <= now);
+        if let Some(proved) = proved.filter(|_| self.version() == Some(version)) {
+            self.prove(proved);
+        }
+    }
+
     /// Version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         self.catalog.as_ref().map(|catalog| catalog.version)
--- a/crates/catalog/tests/all.rs
+++ b/crates/catalog/tests/all.rs
@@ -134,6 +134,27 @@
     assert_eq!(belief.age(at(600)), Some(Duration::from_millis(100)));
 }
 
+/// A question of an earlier run, answered by a peer that was frozen meanwhile,
+/// seems to have been asked after this moment.
+#[test]
+fn proof_of_a_peer_counts_from_the_question() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let age = Duration::from_millis(700);
+    let mut belief = Belief::default();
+    belief.adopt(catalog(4));
+    belief.prove_by_peer(4, at(5000), age, at(6000));
+    assert_eq!(belief.age(at(6000)), Some(Duration::from_millis(1700)));
+    belief.prove_by_peer(4, at(9000), age, at(8000));
+    assert_eq!(belief.age(at(8000)), Some(Duration::from_millis(3700)));
+    belief.prove_by_peer(3, at(8000), age, at(8000));
+    assert_eq!(
+        belief.age(at(8000)),
+        Some(Duration::from_millis(3700)),
+        "an older version proves nothing"
+    );
+}
+
 fn upstream(id: &str, born: u64, state: UpstreamState) -> Upstream {
     Upstream {
         key: UpstreamKey {
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -32,6 +32,8 @@
 /// Asks for a proof.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Question {
+    /// Run of the asking process.
+    incarnation: u64,
     /// Milliseconds since the asking process started.
     sent_ms: u64,
 }
@@ -39,8 +41,8 @@
 /// What a peer knows.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Answer {
-    /// The question's.
-    sent_ms: u64,
+    /// The question. A process that has restarted since did not ask it.
+    question: Question,
     /// Version of the configuration.
     version: u64,
     /// Age of its proof in milliseconds.
@@ -52,7 +54,12 @@
     loop {
         if !node.follows_store() {
             let sent_ms = since_start(&node, node.now());
-            let bytes = Datagram::Question(Question { sent_ms }).encode();
+            let incarnation = node.incarnation;
+            let question = Question {
+                incarnation,
+                sent_ms,
+            };
+            let bytes = Datagram::Question(question).encode();
             let (me, domain) = (&node.settings.name, &node.settings.domain);
             let followers = node.members.borrow().followers(me, domain);
             for peer in followers {
@@ -72,7 +79,7 @@
     };
     if let Some((version, age)) = known {
         let answer = Answer {
-            sent_ms: question.sent_ms,
+            question,
             version,
             age_ms: age.as_millis() as u64 + 1,
         };
@@ -83,12 +90,16 @@
 /// Takes over a peer's answer.
 pub(crate) fn adopt(node: &Node, answer: &Answer) {
     node.hear_version(answer.version);
-    let sent = node.started + Duration::from_millis(answer.sent_ms);
-    let proved = sent.checked_sub(Duration::from_millis(answer.age_ms));
-    let mut belief = node.belief.borrow_mut();
-    if let Some(proved) = proved.filter(|_| belief.version() == Some(answer.version)) {
-        belief.prove(proved);
+    if answer.question.incarnation != node.incarnation {
+        return;
     }
+    let sent = Duration::from_millis(answer.question.sent_ms);
+    let Some(asked) = node.started.checked_add(sent) else {
+        return;
+    };
+    let age = Duration::from_millis(answer.age_ms);
+    let mut belief = node.belief.borrow_mut();
+    belief.prove_by_peer(answer.version, asked, age, node.now());
 }
 
 /// Whether peers rely on this entry's proofs.
