Ask the store in time for configApplyMs and drainMs

Cause, by reading: an entry without news of its peers asked the store once its proof was 2.4 s old; the small sites have a configApplyMs of 2 s, and a domain with a replaced entry has a third there. Changes read late gathered for 1 s, which with 1.2 s of silence is more than a drainMs of 2 s. Change: the bounds are taken from the settings: 0.8 of configApplyMs, a quarter of drainMs at most. The model of followed upstreams holds with 2 s too.

--- a/crates/catalog/tests/follow_model.rs
+++ b/crates/catalog/tests/follow_model.rs
@@ -31,8 +31,9 @@
 /// Most steps by which a late answer is old.
 const LATE_LAG: u64 = 110;
 
-/// Steps within which requests to a leaving upstream must end: 3 s.
-const DRAIN: u64 = 3000 / STEP_MS;
+/// Steps within which requests to a leaving upstream must end: 2 s, the
+/// shortest of the known deployments.
+const DRAIN: u64 = 2000 / STEP_MS;
 
 /// A change in the store, which is also its revision.
 #[derive(Debug, Clone)]
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -22,9 +22,12 @@
 /// Interval between questions, in milliseconds.
 const ASK_MS: u64 = 700;
 
-/// Age up to which an entry asks peers for a newer proof before it asks the
-/// store itself.
-const PEERS_UNTIL: Duration = Duration::from_millis(2400);
+/// Part of the time within which a configuration must be in force after which an
+/// entry without news of its peers asks the store itself.
+const CONFIG_PART: f64 = 0.8;
+
+/// The same part of the time for which a proof is good.
+const PROOF_PART: f64 = 0.63;
 
 /// Time after a question in which a peer relies on this entry's proofs.
 const RELIED_ON: Duration = Duration::from_secs(3);
@@ -111,9 +114,10 @@
 
 /// Whether this entry may leave it to its peers to prove the configuration.
 pub(crate) fn comes_from_peers(node: &Node) -> bool {
-    let bound = node.settings.bounds.stale_after();
-    // Time is left to ask the store before the proof is too old.
-    let bound = bound.map_or(PEERS_UNTIL, |bound| PEERS_UNTIL.min(bound.mul_f64(0.63)));
+    let bounds = &node.settings.bounds;
+    let apply = Duration::from_millis(bounds.config_ms).mul_f64(CONFIG_PART);
+    let stale = bounds.stale_after();
+    let bound = stale.map_or(apply, |stale| apply.min(stale.mul_f64(PROOF_PART)));
     !node.follows_store() && !node.is_behind() && node.belief.borrow().fresh(node.now(), bound)
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -83,6 +83,8 @@
     pub strict_revoke: bool,
     /// Time after which a key that was taken away must not work.
     pub revoke_ms: u64,
+    /// Time within which a new configuration must be in force.
+    pub config_ms: u64,
     /// Repeats allowed for each request.
     pub budget_ratio: f64,
     /// Seconds over which repeats are counted.
@@ -114,6 +116,7 @@
         Self {
             strict_revoke: true,
             revoke_ms: 5000,
+            config_ms: 2000,
             budget_ratio: 0.2,
             budget_window_s: 10.0,
             budget_slack: 50.0,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -39,14 +39,16 @@
 
 /// Interval at which an entry that relies on peers looks whether it still hears
 /// them, in milliseconds.
-const LOOK_MS: u64 = 200;
+const LOOK_MS: u64 = 100;
 
 /// Time for which changes of upstreams gather, as many come together and each
 /// call to the store is paid for.
 const GATHER_MS: u64 = 400;
 
-/// Time for which changes of upstreams gather where late answers do.
+/// Longest time for which changes of upstreams gather where late answers do, and
+/// its part of the time within which leaving upstreams must be left.
 const LATE_GATHER_MS: u64 = 1000;
+const LATE_GATHER_PART: u64 = 4;
 
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 150;
@@ -113,7 +115,7 @@
                 }
                 revision = next;
                 if changed && topic != Topic::Config {
-                    pause(gather_ms(reading)).await;
+                    pause(gather_ms(&node, reading)).await;
                 }
             }
             Err(cause) => {
@@ -127,10 +129,10 @@
 }
 
 /// Time that changes gather, in milliseconds.
-fn gather_ms(reading: Reading) -> u64 {
+fn gather_ms(node: &Node, reading: Reading) -> u64 {
     match reading {
         Reading::Current => GATHER_MS,
-        Reading::Late => LATE_GATHER_MS,
+        Reading::Late => LATE_GATHER_MS.min(node.settings.bounds.drain_ms / LATE_GATHER_PART),
     }
 }
 
