Look whether an upstream is down when a connection to it breaks

Cause: a crash counts against a request only if the upstream is found down within 5 s of the broken connection. Other requests avoid an upstream that failed, so with little load nobody found it, and a request that had crashed three engines was sent to a fourth. Ruled out: counting every broken connection (resets by the network would condemn innocent requests). Change: a connection is made after a break; it is kept for the next request, or its failure shows the crash.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One sending of a request to an upstream.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -210,10 +211,7 @@
                 return Outcome::Unreachable("the connection was closed".into());
             }
             Ok(Err(SendError::Uncertain(cause))) => {
-                let now = node.now();
-                node.suspects
-                    .borrow_mut()
-                    .broke(job.digest, &target.key, now);
+                note_break(node, job, target);
                 return Outcome::Lost(cause);
             }
             Err(_) => return Outcome::Lost("no answer in time".into()),
@@ -221,6 +219,25 @@
     }
 }
 
+/// Notes that the connection broke on which `upstream` ran `job`, and looks
+/// whether the upstream is down: other requests may avoid it from now on.
+pub(crate) fn note_break(node: &Rc<Node>, job: &Job, upstream: &Upstream) {
+    let now = node.now();
+    node.suspects
+        .borrow_mut()
+        .broke(job.digest, &upstream.key, now);
+    let node = node.clone();
+    let (key, addr) = (upstream.key.clone(), upstream.addr);
+    crate::node::spawn(async move {
+        if node.book.borrow().is_closed(&key, node.now()) {
+            node.upstream_down(&key, "it could not be reached");
+        } else if let Ok(channel) = open(&node, &key, addr).await {
+            let now = node.now();
+            node.pool.borrow_mut().put(&key, channel, IDLE, now);
+        }
+    });
+}
+
 /// Takes an idle connection or makes a new one.
 async fn connect(
     node: &Rc<Node>,
@@ -236,12 +253,17 @@
             return Ok(channel);
         }
     }
-    let open = node.pool.borrow_mut().open(&target.key);
-    let result = Channel::open(target.addr, CONNECT_WAIT, open).await;
+    open(node, &target.key, target.addr).await
+}
+
+/// Makes a connection; an upstream to which that fails is down.
+async fn open(node: &Node, key: &UpstreamKey, addr: SocketAddr) -> Result<Channel, String> {
+    let open = node.pool.borrow_mut().open(key);
+    let result = Channel::open(addr, CONNECT_WAIT, open).await;
     node.metrics.connections.inc();
     if let Err(cause) = &result {
-        node.book.borrow_mut().penalize(&target.key, node.now());
-        node.upstream_down(&target.key, cause);
+        node.book.borrow_mut().penalize(key, node.now());
+        node.upstream_down(key, cause);
     }
     result
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -234,16 +234,15 @@
 
     /// Continues a broken stream at another upstream.
     async fn go_on(&mut self, cause: String) -> Result<(), String> {
-        let now = self.node.now();
-        let source = self.run.take().map(|run| run.key);
+        let broken = self.run.take().is_some();
         self.splitter.rest();
         if let Some(moved) = self.state.take_move().await {
             if self.follow(moved).await {
                 return Ok(());
             }
-        } else if let Some(key) = source {
-            let mut suspects = self.node.suspects.borrow_mut();
-            suspects.broke(self.job.digest, &key, now);
+        } else if broken {
+            let upstream = self.state.upstream.borrow().clone();
+            attempt::note_break(&self.node, &self.job, &upstream);
         }
         let result = self.resume(&cause).await;
         log::info!(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -240,10 +240,7 @@
     let (parts, body) = response.into_parts();
     let wait = job.left(node.now());
     let bytes = read_body(body, MAX_ANSWER, wait).await.map_err(|cause| {
-        let now = node.now();
-        node.suspects
-            .borrow_mut()
-            .broke(job.digest, &upstream.key, now);
+        attempt::note_break(node, job, &upstream);
         cause.message
     })?;
     drop(ticket);
