--- a/crates/catalog/tests/all.rs
+++ b/crates/catalog/tests/all.rs
@@ -241,6 +241,23 @@
     assert_eq!(ready(&directory), 1);
 }
 
+/// A peer that did not notice the outage takes lapsed entries for gone.
+#[test]
+fn peers_news_of_missing_entries_waits_for_the_hold() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut directory = Directory::default();
+    directory.update(written("a", 5), at(0));
+    directory.update(written("b", 6), at(0));
+    directory.hold_lapsed(at(2000));
+    assert!(directory.forget(&written("a", 5).key, 8, at(100)));
+    assert!(directory.forget(&written("b", 6).key, 8, at(100)));
+    assert_eq!(ready(&directory), 2, "they may have lapsed only");
+    directory.update(written("a", 9), at(1000));
+    directory.expire(at(2000));
+    assert_eq!(ready(&directory), 1, "one came back");
+}
+
 #[test]
 fn peers_are_told_of_entries_that_went_missing_lately() {
     let start = Instant::now();
