Let peers' news of missing entries count at once

A peer tells only what it does not hold itself. Entries that lapsed while a peer noticed no outage are missed for up to 2 s.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -151,8 +151,7 @@
     }
 
     /// Forgets a run whose entry a peer found missing at `revision`, unless it
-    /// was written since, at once or when the hold ends. Returns whether this was
-    /// news.
+    /// was written since. Returns whether this was news.
     pub fn forget(&mut self, key: &UpstreamKey, revision: u64, now: Instant) -> bool {
         if self.is_gone(key, revision) {
             return false;
@@ -161,9 +160,7 @@
         self.gone.insert(key.clone(), Gone { revision, heard });
         let known = self.upstreams.get(&key.id);
         let present = known.is_some_and(|up| up.key == *key && up.revision <= revision);
-        if present && self.hold.is_some_and(|until| now < until) {
-            self.lapsing.insert(key.id.clone());
-        } else if present {
+        if present {
             self.upstreams.remove(&key.id);
         }
         present
