Record the total spending as the spending of one entry

Cause: the totals of many entries had a field of their own in the record and a way of their own into Allotments, beside the spending of runs, which holds the same. Change: a total is a RunSpending and is heard as one; adopt_totals and the field are gone. A record that can't be read at the start is logged, not passed over.

--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -10,12 +10,11 @@
 use lycheehaven_duties::RunCounts;
 use lycheehaven_guard::Limit;
 use lycheehaven_guard::RunSpending;
-use lycheehaven_types::Name;
+use lycheehaven_net::pause;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::node::Node;
-use crate::node::pause;
 use crate::store::StoreError;
 use crate::store::Written;
 
@@ -33,11 +32,8 @@
 struct Record {
     /// Milliseconds since the Unix epoch.
     at_ms: i64,
-    /// Spending of each run of an entry.
+    /// Spending of each run of an entry, or of all as one if they are many.
     spending: Vec<RunSpending>,
-    /// Spending of all entries by workspace, where there are too many to name.
-    #[serde(default)]
-    totals: Vec<(Name, f64)>,
     /// Usage counts of each run of an entry.
     usage: Vec<RunCounts>,
 }
@@ -84,14 +80,13 @@
     let mut record = Record {
         at_ms: node.wall_millis(),
         spending: Vec::new(),
-        totals: Vec::new(),
         usage: Vec::new(),
     };
     if node.members.borrow().count() <= MOST_ENTRIES {
         record.spending = allotments.snapshot(me, run, node.now());
         record.usage = node.usage.borrow().snapshot(me, run);
     } else {
-        record.totals = allotments.recorded_totals(node.now());
+        record.spending = vec![allotments.snapshot_total(node.now())];
     }
     record
 }
@@ -107,7 +102,11 @@
                 node.counts_known.set(true);
                 return;
             }
-            Err(_) => pause(RETRY_MS).await,
+            Err(cause) => {
+                let cause = cause.to_string();
+                log::info!(target: "lycheehaven", cause = cause.as_str(); "the record of counts can't be read; retrying");
+                pause(RETRY_MS).await;
+            }
         }
     }
 }
@@ -134,7 +133,6 @@
     let me = &node.settings.name;
     node.recorded.set(Some(at));
     let mut allotments = node.allotments.borrow_mut();
-    allotments.adopt_totals(record.totals, at);
     for run in record.spending {
         // The earlier run on this VM is no peer that could be heard again.
         let entry = if run.entry == *me {
--- a/crates/guard/src/allotment.rs
+++ b/crates/guard/src/allotment.rs
@@ -182,31 +182,27 @@
     }
 
     /// What each workspace will probably have spent in the last window when the
-    /// next record is kept, over all entries.
-    pub fn recorded_totals(&mut self, now: Instant) -> Vec<(Name, f64)> {
+    /// next record is kept, over all entries as if they were one.
+    pub fn snapshot_total(&mut self, now: Instant) -> RunSpending {
         let expected: HashMap<Name, f64> = self.expect_spending(now).into_iter().collect();
-        self.workspaces()
+        let spent = self
+            .workspaces()
             .into_iter()
             .map(|workspace| {
                 let more = expected.get(&workspace).copied().unwrap_or(0.0);
                 let total = self.total(&workspace, now) + more;
                 (workspace, total)
             })
-            .collect()
-    }
-
-    /// Takes over recorded totals of all entries, as of `at`.
-    pub fn adopt_totals(&mut self, totals: Vec<(Name, f64)>, at: Instant) {
-        let totals = PeerSpend {
+            .collect();
+        RunSpending {
+            entry: RECORDED.into(),
             incarnation: 0,
-            heard: at,
-            spent: totals.into_iter().collect(),
-        };
-        self.peers.insert(RECORDED.into(), totals);
+            spent,
+        }
     }
 
-    /// Takes what a peer tells for the first time out of the recorded totals,
-    /// which hold it if the peer was running before them.
+    /// Takes what a peer tells for the first time out of a recorded total, which
+    /// holds it if the peer was running before the record.
     pub fn cover(&mut self, peer: &Name, incarnation: u64, spent: &[(Name, f64)]) {
         let known = self.peers.get(peer);
         if known.is_some_and(|known| known.incarnation == incarnation) {
--- a/crates/guard/tests/allotments.rs
+++ b/crates/guard/tests/allotments.rs
@@ -191,7 +191,12 @@
     let start = Instant::now();
     let workspace: Name = "w".into();
     let mut entry = Allotments::new(WINDOW);
-    entry.adopt_totals(vec![(workspace.clone(), 5000.0)], start);
+    let mut holder = Allotments::new(WINDOW);
+    let limit = Limit::new(50_000.0, 0.0);
+    let spent = holder.admit(&workspace, limit, 5000.0, &names[..1], start);
+    assert!(spent.is_ok());
+    let record = holder.snapshot_total(start);
+    entry.hear(&record.entry, record.incarnation, &record.spent, start);
     assert_eq!(entry.total(&workspace, start), 5000.0);
     let told = [(workspace.clone(), 4000.0)];
     for _ in 0..2 {
@@ -219,7 +224,6 @@
         let limit = Limit::new(units, excess);
         let mut fleet = Fleet::new(7);
         let mut record = Vec::new();
-        let mut totals = Vec::new();
         let mut recorded_at = 0;
         for step in 0..200_u64 {
             let millis = step * 50;
@@ -227,7 +231,6 @@
                 let at = fleet.at(recorded_at);
                 for (index, entry) in fleet.entries.iter_mut().enumerate() {
                     *entry = Allotments::new(WINDOW);
-                    entry.adopt_totals(totals.clone(), at);
                     for run in &record {
                         let run: &RunSpending = run;
                         let own = *run.entry == *fleet.names[index];
@@ -250,11 +253,11 @@
                 let due = fleet.entries[0].record_due(&workspace, limit, now);
                 if due || millis - recorded_at >= 1000 {
                     let me = fleet.names[0].clone();
-                    if only_totals {
-                        totals = fleet.entries[0].recorded_totals(now);
+                    record = if only_totals {
+                        vec![fleet.entries[0].snapshot_total(now)]
                     } else {
-                        record = fleet.entries[0].snapshot(&me, incarnation, now);
-                    }
+                        fleet.entries[0].snapshot(&me, incarnation, now)
+                    };
                     recorded_at = millis;
                 }
             }
