--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,10 +10,12 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use lycheehaven_adapter::upstream::AnswerHead;
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_channels::Channel;
 use lycheehaven_net::Body;
+use lycheehaven_net::CountGuard;
 use lycheehaven_net::EventSplitter;
 
 use crate::attempt;
@@ -27,7 +29,6 @@
 use crate::evacuate::Moved;
 use crate::evacuate::StreamState;
 use crate::node::Node;
-use crate::node::OpenRequest;
 use crate::serve;
 
 /// Longest pause in a resumable stream before it goes on at another upstream.
@@ -42,6 +43,21 @@
     ticket: Ticket,
 }
 
+impl Run {
+    /// The head of an answer, and the run that it begins.
+    fn begin(answered: Answered) -> (Parts, Self) {
+        let (parts, body) = answered.response.into_parts();
+        let run = Self {
+            key: answered.upstream.key,
+            body,
+            head: answered.head,
+            channel: answered.channel,
+            ticket: answered.ticket,
+        };
+        (parts, run)
+    }
+}
+
 struct Relay {
     node: Rc<Node>,
     job: Rc<Job>,
@@ -55,7 +71,7 @@
     stride: u64,
     state: Rc<StreamState>,
     number: u64,
-    _open: OpenRequest,
+    _open: CountGuard,
 }
 
 /// What came from the upstream.
@@ -75,27 +91,14 @@
     answered: Answered,
     arrivals: u32,
 ) -> Result<Response<Body>, String> {
-    let Answered {
-        upstream,
-        response,
-        head,
-        channel,
-        ticket,
-    } = answered;
-    let (parts, body) = response.into_parts();
-    let state = StreamState::new(job, &upstream, node.now());
+    let state = StreamState::new(job, &answered.upstream, node.now());
     let number = node.streams.borrow_mut().add(state.clone());
+    let (parts, run) = Run::begin(answered);
     let mut relay = Relay {
         node: node.clone(),
         job: job.clone(),
-        tried: vec![upstream.key.clone()],
-        run: Some(Run {
-            key: upstream.key,
-            body,
-            head,
-            channel,
-            ticket,
-        }),
+        tried: vec![run.key.clone()],
+        run: Some(run),
         splitter: EventSplitter::default(),
         ready: VecDeque::new(),
         last_event: job.head.last_event,
@@ -103,7 +106,7 @@
         stride: stride(node, job),
         state,
         number,
-        _open: OpenRequest::new(node),
+        _open: CountGuard::new(node.open.clone()),
     };
     relay.fill().await?;
     let stream = unfold(Some(relay), |relay| async move {
@@ -289,14 +292,9 @@
         }
         answered.ticket.answered();
         *self.state.upstream.borrow_mut() = answered.upstream.clone();
-        self.tried.push(answered.upstream.key.clone());
-        self.run = Some(Run {
-            key: answered.upstream.key,
-            body: answered.response.into_body(),
-            head: answered.head,
-            channel: answered.channel,
-            ticket: answered.ticket,
-        });
+        let (_, run) = Run::begin(*answered);
+        self.tried.push(run.key.clone());
+        self.run = Some(run);
         true
     }
 
