Keep one copy of what the loops share

Cause: bind, spawn and pause stood in entry and gateway alike, the guard that counts what is open in net, channels and gateway, and the time since the start was worked out in three places. Change: net::tasks holds them (CountGuard for the guard), Node::uptime the time.

--- a/crates/channels/src/channel.rs
+++ b/crates/channels/src/channel.rs
@@ -15,6 +15,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use lycheehaven_net::Body;
+use lycheehaven_net::CountGuard;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 
@@ -50,7 +51,7 @@
 pub struct Channel {
     sender: SendRequest<Body>,
     _driver: JoinHandle<()>,
-    _count: OpenCount,
+    _count: CountGuard,
 }
 
 impl Channel {
@@ -64,7 +65,7 @@
         wait: Duration,
         open: Rc<Cell<usize>>,
     ) -> Result<Self, String> {
-        let count = OpenCount::new(open);
+        let count = CountGuard::new(open);
         let stream = match compio::time::timeout(wait, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(cause)) => return Err(cause.to_string()),
@@ -110,21 +111,6 @@
     }
 }
 
-struct OpenCount(Rc<Cell<usize>>);
-
-impl OpenCount {
-    fn new(open: Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
-    }
-}
-
-impl Drop for OpenCount {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Makes the kernel notice an upstream that no longer answers.
 fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
--- a/crates/entry/src/boot.rs
+++ b/crates/entry/src/boot.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
+use lycheehaven_net::pause;
 
 use crate::config_store;
 use crate::node::Node;
-use crate::node::pause;
 use crate::peer_client;
 use crate::wire::BootState;
 
--- a/crates/entry/src/claimant.rs
+++ b/crates/entry/src/claimant.rs
@@ -15,6 +15,8 @@
 use lycheehaven_claims::Shard;
 use lycheehaven_claims::ShardId;
 use lycheehaven_claims::Ticket;
+use lycheehaven_net::pause;
+use lycheehaven_net::spawn;
 use lycheehaven_platform::Condition;
 use lycheehaven_platform::PutOutcome;
 use lycheehaven_platform::Version;
@@ -24,8 +26,6 @@
 
 use crate::metrics::kind;
 use crate::node::Node;
-use crate::node::pause;
-use crate::node::spawn;
 use crate::peer_client;
 use crate::record::Record;
 use crate::wire::ClaimAsk;
--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -12,6 +12,7 @@
 use lycheehaven_net::Body;
 use lycheehaven_net::json_response;
 use lycheehaven_net::read_body;
+use lycheehaven_net::spawn;
 use lycheehaven_streams::Stream;
 use lycheehaven_types::Digest;
 use lycheehaven_types::ErrorKind;
@@ -25,7 +26,6 @@
 
 use crate::metrics::kind;
 use crate::node::Node;
-use crate::node::spawn;
 use crate::record::Record;
 use crate::record::Request;
 use crate::record::Shape;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,14 +1,14 @@
 //! Start, loops and end of the daemon.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
-use compio::net::TcpListener;
 use eyre::Context;
 use eyre::Result;
 use lycheehaven_config::Settings;
 use lycheehaven_net::ServerLimits;
+use lycheehaven_net::bind;
 use lycheehaven_net::serve;
+use lycheehaven_net::spawn;
 use lycheehaven_signals::Signal;
 use lycheehaven_signals::Signals;
 use lycheehaven_types::SystemClock;
@@ -20,7 +20,6 @@
 use crate::handover;
 use crate::load;
 use crate::node::Node;
-use crate::node::spawn;
 use crate::peer_api;
 use crate::place;
 use crate::plain;
@@ -65,12 +64,6 @@
     Ok(())
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .wrap_err_with(|| format!("can't listen on {addr}"))
-}
-
 async fn start_loops(node: Rc<Node>) {
     boot::boot(&node).await;
     spawn(watch::follow_config(node.clone()));
--- a/crates/entry/src/evacuate.rs
+++ b/crates/entry/src/evacuate.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use lycheehaven_config::EvacuationPolicy;
+use lycheehaven_net::pause;
+use lycheehaven_net::spawn;
 use lycheehaven_routing::Query;
 use lycheehaven_streams::Candidate;
 use lycheehaven_streams::EvacuationInput;
@@ -16,8 +18,6 @@
 
 use crate::metrics::kind;
 use crate::node::Node;
-use crate::node::pause;
-use crate::node::spawn;
 use crate::peer_client;
 use crate::record::Record;
 use crate::relay;
--- a/crates/entry/src/fetch.rs
+++ b/crates/entry/src/fetch.rs
@@ -15,6 +15,7 @@
 use hyper::header::HeaderValue;
 use lycheehaven_net::Body;
 use lycheehaven_net::open_once;
+use lycheehaven_net::spawn;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
 use lycheehaven_types::Name;
@@ -22,7 +23,6 @@
 
 use crate::node::Node;
 use crate::node::PEER_KEY_HEADER;
-use crate::node::spawn;
 use crate::plain;
 use crate::record::Record;
 use crate::record::Shape;
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -5,10 +5,10 @@
 
 use futures_util::FutureExt;
 use futures_util::select;
+use lycheehaven_net::pause;
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
-use crate::node::pause;
 use crate::record::Record;
 use crate::replicate;
 
--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
+use lycheehaven_net::pause;
 use lycheehaven_routing::Load;
 use lycheehaven_routing::Upstream;
 use lycheehaven_types::HashMap;
@@ -16,7 +17,6 @@
 use lycheehaven_upstream::protocol::LoadReport;
 
 use crate::node::Node;
-use crate::node::pause;
 
 #[derive(Debug, Clone, Copy)]
 struct Cursor {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -297,13 +297,3 @@
         rand::random()
     }
 }
-
-/// Runs `task` until its end or until the entry stops.
-pub(crate) fn spawn(task: impl Future<Output = ()> + 'static) {
-    compio::runtime::spawn(task).detach();
-}
-
-/// Sleeps for a number of milliseconds.
-pub(crate) async fn pause(millis: u64) {
-    compio::time::sleep(Duration::from_millis(millis)).await;
-}
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use lycheehaven_net::pause;
+use lycheehaven_net::spawn;
 use lycheehaven_placement::Backoff;
 use lycheehaven_placement::Lease;
 use lycheehaven_placement::LeaseAction;
@@ -27,8 +29,6 @@
 use crate::metrics::kind;
 use crate::node::ENTRY_SERVICE;
 use crate::node::Node;
-use crate::node::pause;
-use crate::node::spawn;
 use crate::watch::news;
 
 /// Engines whose model is read back in one period.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -6,6 +6,7 @@
 
 use futures_util::FutureExt;
 use futures_util::select;
+use lycheehaven_net::pause;
 use lycheehaven_routing::Query;
 use lycheehaven_streams::Broken;
 use lycheehaven_streams::Event;
@@ -24,7 +25,6 @@
 
 use crate::metrics::kind;
 use crate::node::Node;
-use crate::node::pause;
 use crate::record::Record;
 use crate::suspects;
 
--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_net::pause;
+use lycheehaven_net::spawn;
 use lycheehaven_streams::Phase;
 use lycheehaven_streams::Stream;
 use lycheehaven_streams::Tokens;
@@ -21,8 +23,6 @@
 use lycheehaven_upstream::plain::PlainAnswer;
 
 use crate::node::Node;
-use crate::node::pause;
-use crate::node::spawn;
 use crate::peer_client;
 use crate::record::Record;
 use crate::record::Request;
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -10,6 +10,7 @@
 use lycheehaven_net::BodySender;
 use lycheehaven_net::bytes_response;
 use lycheehaven_net::json_response;
+use lycheehaven_net::spawn;
 use lycheehaven_streams::Phase;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
@@ -17,7 +18,6 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::node::spawn;
 use crate::record::Attendance;
 use crate::record::Record;
 use crate::record::Shape;
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use lycheehaven_net::pause;
 use lycheehaven_platform::Version;
 use lycheehaven_platform::VmState;
 use lycheehaven_platform::WatchOutcome;
@@ -14,7 +15,6 @@
 use crate::evacuate::Source;
 use crate::metrics::kind;
 use crate::node::Node;
-use crate::node::pause;
 use crate::wire::LeavingNews;
 
 /// First wait after a failed call; doubles up to [`RETRY_LIMIT_MS`].
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,5 @@
 //! Start, loops and end of a gateway.
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -16,8 +15,11 @@
 use hyper::body::Incoming;
 use lycheehaven_net::Body;
 use lycheehaven_net::ServerLimits;
+use lycheehaven_net::bind;
 use lycheehaven_net::bytes_response;
+use lycheehaven_net::pause;
 use lycheehaven_net::serve;
+use lycheehaven_net::spawn;
 use lycheehaven_signals::Signal;
 use lycheehaven_signals::Signals;
 use lycheehaven_types::SystemClock;
@@ -30,8 +32,6 @@
 use crate::lease::LeaseHandle;
 use crate::members;
 use crate::node::Node;
-use crate::node::pause;
-use crate::node::spawn;
 use crate::proof;
 use crate::settings::Settings;
 use crate::watch;
@@ -100,12 +100,6 @@
     Ok(())
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .wrap_err_with(|| format!("can't listen on {addr}"))
-}
-
 fn spawn_servers(node: &Rc<Node>, front: TcpListener, ready: TcpListener, metrics: TcpListener) {
     let limits = ServerLimits {
         connections: node
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -12,6 +12,7 @@
 use lycheehaven_duties::Scaled;
 use lycheehaven_duties::Scaler;
 use lycheehaven_guard::RECORD_CHECK;
+use lycheehaven_net::pause;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use serde::Deserialize;
@@ -21,7 +22,6 @@
 use crate::lease::LeaseHandle;
 use crate::members::MEMBERS;
 use crate::node::Node;
-use crate::node::pause;
 use crate::settings::CloudSettings;
 use crate::settings::Duty;
 use crate::store::Written;
@@ -253,7 +253,7 @@
             return Vec::new();
         };
         let now = self.node.now();
-        if now.saturating_duration_since(self.node.started) < self.settle() {
+        if self.node.uptime() < self.settle() {
             return Vec::new();
         }
         let fleet = fleet(&self.node, &service.name);
--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -11,6 +11,8 @@
 use lycheehaven_catalog::EngineSpec;
 use lycheehaven_catalog::Upstream;
 use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_net::pause;
+use lycheehaven_net::spawn;
 use lycheehaven_streams::Candidate;
 use lycheehaven_streams::EvacuationInput;
 use lycheehaven_streams::Expectation;
@@ -24,8 +26,6 @@
 use crate::attempt::Target;
 use crate::call::post_once;
 use crate::node::Node;
-use crate::node::pause;
-use crate::node::spawn;
 use crate::serve;
 
 /// Interval between looks at leaving engines, in milliseconds.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,13 +12,13 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_dispatch::LoadReport;
 use lycheehaven_duties::Counts;
+use lycheehaven_net::pause;
 use lycheehaven_types::Digest;
 use lycheehaven_types::Name;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::node::Node;
-use crate::node::pause;
 use crate::proof;
 
 /// Version of the message format.
@@ -151,7 +151,7 @@
     let message = Message {
         from: node.settings.name.clone(),
         incarnation: node.incarnation,
-        uptime_ms: now.saturating_duration_since(node.started).as_millis() as u64,
+        uptime_ms: node.uptime().as_millis() as u64,
         wall_ms,
         spent: node.allotments.borrow_mut().report(now),
         begun: node.usage.borrow().report(),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -20,6 +20,7 @@
 use lycheehaven_catalog::Route;
 use lycheehaven_catalog::Workspace;
 use lycheehaven_net::Body;
+use lycheehaven_net::CountGuard;
 use lycheehaven_net::json_response;
 use lycheehaven_net::read_body;
 use lycheehaven_types::Digest;
@@ -30,7 +31,6 @@
 use crate::attempt::Job;
 use crate::counts;
 use crate::node::Node;
-use crate::node::OpenRequest;
 use crate::serve;
 
 /// Longest wait for a body, whatever the limits say.
@@ -41,7 +41,7 @@
 
 /// Answers one request.
 pub(crate) async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let _open = OpenRequest::new(&node);
+    let _open = CountGuard::new(node.open.clone());
     let received = node.now();
     let head = caller::read(request.headers());
     let id = head.id.clone();
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lycheehaven_adapter::store::Object;
+use lycheehaven_net::pause;
 use lycheehaven_placement::Lease;
 use lycheehaven_placement::LeaseAction;
 use lycheehaven_placement::LeaseEvent;
@@ -12,7 +13,6 @@
 use serde::Deserialize;
 
 use crate::node::Node;
-use crate::node::pause;
 use crate::store::StoreError;
 use crate::store::Written;
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,6 +7,7 @@
 
 use lycheehaven_adapter::store::Object;
 use lycheehaven_catalog::follows_store;
+use lycheehaven_net::pause;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use rand::seq::IteratorRandom;
@@ -14,7 +15,6 @@
 use serde::Serialize;
 
 use crate::node::Node;
-use crate::node::pause;
 use crate::store::Written;
 
 /// Kind of the entries' own objects in the store.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -72,7 +72,7 @@
     /// Whether peers tell this entry of leaving upstreams.
     pub(crate) informed: RefCell<Informed>,
     /// Requests whose answers are not complete.
-    pub(crate) open: Cell<usize>,
+    pub(crate) open: Rc<Cell<usize>>,
     /// Whether the entry is stopping and takes no new callers.
     pub(crate) stopping: Cell<bool>,
     /// Cancelled when the entry is told to stop.
@@ -120,7 +120,7 @@
             version_sought: Cell::new(0),
             asked: Cell::new(None),
             informed: RefCell::default(),
-            open: Cell::new(0),
+            open: Rc::default(),
             stopping: Cell::new(false),
             stop_asked: CancellationToken::new(),
             accepting: CancellationToken::new(),
@@ -134,6 +134,11 @@
         self.clock.now()
     }
 
+    /// Time since the process started.
+    pub(crate) fn uptime(&self) -> Duration {
+        self.now().saturating_duration_since(self.started)
+    }
+
     /// Whether the configuration is known and may be relied on.
     pub(crate) fn is_current(&self, now: Instant) -> bool {
         let belief = self.belief.borrow();
@@ -273,29 +278,3 @@
         }
     }
 }
-
-/// Counts a request until its answer is complete.
-pub(crate) struct OpenRequest(Rc<Node>);
-
-impl OpenRequest {
-    pub(crate) fn new(node: &Rc<Node>) -> Self {
-        node.open.set(node.open.get() + 1);
-        Self(node.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
-/// Starts a task that ends with the process.
-pub(crate) fn spawn(task: impl Future<Output = ()> + 'static) {
-    compio::runtime::spawn(task).detach();
-}
-
-/// Waits, unless the entry ends before.
-pub(crate) async fn pause(millis: u64) {
-    compio::time::sleep(Duration::from_millis(millis)).await;
-}
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -8,16 +8,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use compio::net::UdpSocket;
+use lycheehaven_net::pause;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::exchange::Datagram;
 use crate::exchange::send_to;
 use crate::node::Node;
-use crate::node::pause;
 
 /// Interval between questions, in milliseconds.
 const ASK_MS: u64 = 700;
@@ -56,7 +55,7 @@
 pub(crate) async fn ask(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         if !node.follows_store() {
-            let sent_ms = since_start(&node, node.now());
+            let sent_ms = node.uptime().as_millis() as u64;
             let incarnation = node.incarnation;
             let question = Question {
                 incarnation,
@@ -120,7 +119,3 @@
     let bound = stale.map_or(apply, |stale| apply.min(stale.mul_f64(PROOF_PART)));
     !node.follows_store() && !node.is_behind() && node.belief.borrow().fresh(node.now(), bound)
 }
-
-fn since_start(node: &Node, now: Instant) -> u64 {
-    now.saturating_duration_since(node.started).as_millis() as u64
-}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,10 +12,10 @@
 use lycheehaven_adapter::store::Change;
 use lycheehaven_adapter::store::Object;
 use lycheehaven_adapter::store::Reading;
+use lycheehaven_net::pause;
 
 use crate::members::MEMBERS;
 use crate::node::Node;
-use crate::node::pause;
 use crate::proof;
 use crate::store::StoreError;
 use crate::store::Watched;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 mod once;
 mod server;
 mod sse;
+mod tasks;
 
 pub use body::Body;
 pub use body::BodySender;
@@ -28,6 +29,10 @@
 pub use server::ServerLimits;
 pub use server::serve;
 pub use sse::SseParser;
+pub use tasks::CountGuard;
+pub use tasks::bind;
+pub use tasks::pause;
+pub use tasks::spawn;
 
 use hyper::Response;
 use hyper::StatusCode;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -20,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Body;
+use crate::tasks::CountGuard;
 
 /// Bytes that the kernel may buffer towards a client.
 const SEND_BUFFER: usize = 32 * 1024;
@@ -86,7 +87,7 @@
         let _ = stream.set_nodelay(true);
         // What the kernel buffers counts as read, so little of it is wanted.
         let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
-        let guard = OpenGuard::new(open.clone());
+        let guard = CountGuard::new(open.clone());
         let connection = serve_stream(stream, limits, token.clone(), handler.clone());
         compio::runtime::spawn(async move {
             connection.await;
@@ -121,18 +122,3 @@
         let _ = connection.await;
     }
 }
-
-struct OpenGuard(Rc<Cell<usize>>);
-
-impl OpenGuard {
-    fn new(open: Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
