--- a/crates/catalog/tests/all.rs
+++ b/crates/catalog/tests/all.rs
@@ -1,5 +1,7 @@
 //! Routes, keys, the directory of upstreams, and the age of belief.
 
+mod support;
+
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,7 +14,6 @@
 use lycheehaven_catalog::RouteKind;
 use lycheehaven_catalog::Split;
 use lycheehaven_catalog::Upstream;
-use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_catalog::UpstreamState;
 use lycheehaven_catalog::Workspace;
 
@@ -156,27 +157,12 @@
 }
 
 fn upstream(id: &str, born: u64, state: UpstreamState) -> Upstream {
-    Upstream {
-        key: UpstreamKey {
-            id: id.into(),
-            born,
-        },
-        service: "llm".into(),
-        addr: "127.0.0.1:80".parse().expect("address"),
-        domain: "keila".into(),
-        slots: 4,
-        state,
-        revision: born,
-        spot: true,
-    }
+    support::upstream(id, born, state, born)
 }
 
 /// A ready upstream whose entry was written at `revision`.
 fn written(id: &str, revision: u64) -> Upstream {
-    Upstream {
-        revision,
-        ..upstream(id, 1, UpstreamState::Ready)
-    }
+    support::upstream(id, 1, UpstreamState::Ready, revision)
 }
 
 fn ready(directory: &Directory) -> usize {
--- a/crates/catalog/tests/follow_model.rs
+++ b/crates/catalog/tests/follow_model.rs
@@ -3,6 +3,8 @@
 //!
 //! `LYCHEEHAVEN_SEED` names the first of the seeds that are played.
 
+mod support;
+
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +17,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::support::upstream;
+
 const STEP_MS: u64 = 50;
 const STEPS: u64 = 1200;
 const SEEDS: u64 = 150;
@@ -67,22 +71,6 @@
     }
 }
 
-fn upstream(engine: usize, born: u64, state: UpstreamState, revision: usize) -> Upstream {
-    Upstream {
-        key: UpstreamKey {
-            id: format!("i-{engine}").into(),
-            born,
-        },
-        service: "llm".into(),
-        addr: "127.0.0.1:80".parse().expect("address"),
-        domain: "keila".into(),
-        slots: 4,
-        state,
-        spot: true,
-        revision: revision as u64,
-    }
-}
-
 /// Runs of engines that come, say that they leave or do not, and are removed.
 fn history(random: &mut StdRng) -> Vec<Change> {
     let mut plan: Vec<(u64, usize, u64, Option<UpstreamState>)> = Vec::new();
@@ -109,7 +97,12 @@
         let state = state.unwrap_or(UpstreamState::Ready);
         changes.push(Change {
             step,
-            upstream: upstream(engine, born, state, changes.len() + 1),
+            upstream: upstream(
+                &format!("i-{engine}"),
+                born,
+                state,
+                changes.len() as u64 + 1,
+            ),
             removed,
         });
     }
--- a/crates/duties/tests/scaler.rs
+++ b/crates/duties/tests/scaler.rs
@@ -96,6 +96,14 @@
         self.desired.remove(&key);
     }
 
+    /// Takes the reclaimable engines of these domains away and gives out none.
+    fn dry_up(&mut self, domains: &[&str]) {
+        self.dry = true;
+        for domain in domains {
+            self.reclaim(domain);
+        }
+    }
+
     fn count(&self, spot: bool) -> u32 {
         self.fleet
             .iter()
@@ -143,9 +151,7 @@
     let mut cloud = Cloud::new();
     let mut scaler = Scaler::default();
     cloud.run(&mut scaler, 0, 10, 10.0);
-    cloud.dry = true;
-    cloud.reclaim("a");
-    cloud.reclaim("b");
+    cloud.dry_up(&["a", "b"]);
     cloud.run(&mut scaler, 10, 20, 10.0);
     let total = cloud.count(true) + cloud.count(false);
     assert!(total >= 12, "{total} engines for the work of 10");
@@ -164,9 +170,7 @@
     let mut cloud = Cloud::new();
     let mut scaler = Scaler::default();
     cloud.run(&mut scaler, 0, 10, 10.0);
-    cloud.dry = true;
-    cloud.reclaim("a");
-    cloud.reclaim("b");
+    cloud.dry_up(&["a", "b"]);
     cloud.run(&mut scaler, 10, 11, 10.0);
     let before = cloud.orders.len();
     cloud.run(&mut scaler, 11, 25, 10.0);
@@ -179,8 +183,7 @@
     let mut cloud = Cloud::new();
     let mut scaler = Scaler::default();
     cloud.run(&mut scaler, 0, 10, 100.0);
-    cloud.dry = true;
-    cloud.reclaim("a");
+    cloud.dry_up(&["a"]);
     cloud.run(&mut scaler, 10, 20, 100.0);
     for domain in &cloud.domains {
         let spot = cloud.fleet.get(&(domain.clone(), true)).copied();
@@ -198,9 +201,7 @@
     cloud.scaling.max = 24;
     let mut scaler = Scaler::default();
     cloud.run(&mut scaler, 0, 12, 26.0);
-    cloud.dry = true;
-    cloud.reclaim("d");
-    cloud.reclaim("c");
+    cloud.dry_up(&["d", "c"]);
     cloud.run(&mut scaler, 12, 18, 26.0);
     cloud.reclaim("b");
     cloud.reclaim("a");
