--- a/crates/catalog/src/follower_liveness.rs
+++ b/crates/catalog/src/follower_liveness.rs
@@ -1,6 +1,6 @@
 //! Decides whether an entry must follow the store itself.
 //!
-//! In a large deployment a few entries of each failure domain follow the
+//! In a large deployment the aggregators of each failure domain follow the
 //! upstreams in the store with current reads and report leaving upstreams to the
 //! others. The others use cheaper reads whose answers may be stale, but only
 //! while they receive messages of such a follower.
@@ -8,17 +8,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use lycheehaven_types::Name;
-
-/// Entries per failure domain that follow the store.
-const FOLLOWER_COUNT: usize = 2;
-
 /// Age of a peer's last answer from the store at which the peer no longer counts as
 /// a follower. A follower renews its watch every 2 s.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(2600);
 
 /// Time without a message of a follower after which an entry reads the store
-/// itself. About 1.4 messages of followers arrive every 200 ms.
+/// itself. Two followers send a message every 200 ms each.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// Tracks whether messages of peers that follow the store arrive.
@@ -42,10 +37,3 @@
         })
     }
 }
-
-/// Returns whether the entry `own_name` must follow the store. Of `neighbours`, the
-/// entries of its failure domain, the first `FOLLOWER_COUNT` by name do.
-pub fn follows_store<'a>(own_name: &Name, neighbours: impl Iterator<Item = &'a Name>) -> bool {
-    let before = neighbours.filter(|name| *name < own_name).count();
-    before < FOLLOWER_COUNT
-}
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -23,7 +23,6 @@
 pub use directory::UpstreamKey;
 pub use directory::UpstreamState;
 pub use follower_liveness::FollowerLiveness;
-pub use follower_liveness::follows_store;
 pub use request::PromptPart;
 pub use request::TokenCount;
 pub use route::EngineSpec;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_fleet::Source;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use serde::Deserialize;
@@ -13,10 +14,19 @@
 /// lower priorities.
 pub const PRIORITY_LEVELS: usize = 4;
 
-/// Age at which a peer's load report is discarded. With 88 entries a report from a
-/// given peer arrives every 1.5 s on average.
+/// Age at which a peer's load report is discarded.
 const PEER_EXPIRY: Duration = Duration::from_secs(3);
 
+/// Age from which a report that covers the whole fleet gives way to the reports
+/// that cover parts of it.
+const FLEET_EXPIRY: Duration = Duration::from_millis(1500);
+
+/// Weight of the newest report in the moving average of the prompt tokens that the
+/// fleet's requests have waiting at an upstream. Such a report is older than most
+/// prompts take to prefill, so the average says more about the present than the
+/// report itself. About five reports arrive each second.
+const FLEET_PREFILL_WEIGHT: f64 = 0.2;
+
 /// Age at which the load reported by an upstream is ignored.
 const OBSERVED_EXPIRY: Duration = Duration::from_millis(500);
 
@@ -114,10 +124,51 @@
     pub load: Load,
 }
 
+/// Load that peers cause at an upstream, by the kind of source that reports it.
+#[derive(Debug, Default)]
+struct PeerLoad {
+    entries: Load,
+    domains: Load,
+    fleet: Load,
+    /// Moving average of the prompt tokens in `fleet`.
+    fleet_prefill: [f64; PRIORITY_LEVELS],
+}
+
+impl PeerLoad {
+    fn by(&mut self, source: &Source) -> &mut Load {
+        match source {
+            Source::Entry(_) => &mut self.entries,
+            Source::Domain(_) => &mut self.domains,
+            Source::Fleet => &mut self.fleet,
+        }
+    }
+
+    fn average_prefill(&mut self) {
+        let newest = self.fleet.prefill_tokens;
+        for (average, tokens) in self.fleet_prefill.iter_mut().zip(newest) {
+            *average += FLEET_PREFILL_WEIGHT * (tokens as f64 - *average);
+        }
+    }
+
+    /// Returns the load that the fleet causes at present.
+    fn expected_fleet(&self) -> Load {
+        Load {
+            prefill_tokens: self.fleet_prefill.map(|tokens| tokens as u64),
+            ..self.fleet
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        [&self.entries, &self.domains, &self.fleet]
+            .iter()
+            .all(|load| load.requests == 0)
+    }
+}
+
 #[derive(Debug)]
 struct UpstreamStats {
     local: Load,
-    peers: Load,
+    peers: PeerLoad,
     observed: Option<ObservedLoad>,
     failures: u32,
     failure_rate: f64,
@@ -129,7 +180,7 @@
     fn default() -> Self {
         Self {
             local: Load::default(),
-            peers: Load::default(),
+            peers: PeerLoad::default(),
             observed: None,
             failures: 0,
             failure_rate: 0.0,
@@ -143,7 +194,7 @@
 #[derive(Debug, Default)]
 pub struct LoadTracker {
     upstreams: HashMap<UpstreamKey, UpstreamStats>,
-    peers: HashMap<Name, (Instant, Vec<LoadReport>)>,
+    reports: HashMap<Source, (Instant, Vec<LoadReport>)>,
     cached_parts: HashMap<(UpstreamKey, Name), Instant>,
     /// Ratio of measured to expected latency, by service.
     slowdowns: HashMap<Name, f64>,
@@ -241,10 +292,41 @@
             .collect()
     }
 
-    /// Replaces a peer's load reports.
-    pub fn update_peer(&mut self, peer: &Name, reports: Vec<LoadReport>, now: Instant) {
-        self.peers.insert(peer.clone(), (now, reports));
-        self.sum_peers(now);
+    /// Returns the load that this entry and the entries that report to it directly
+    /// cause at each upstream.
+    pub fn domain_reports(&self) -> Vec<LoadReport> {
+        self.sums(None, |peers| vec![&peers.entries])
+    }
+
+    /// Returns the load that all entries except `member` cause at each upstream.
+    pub fn reports_for(&self, member: &Name) -> Vec<LoadReport> {
+        self.sums(Some(member), |peers| vec![&peers.entries, &peers.domains])
+    }
+
+    /// Replaces the load that `source` reports.
+    pub fn update_source(&mut self, source: Source, reports: Vec<LoadReport>, now: Instant) {
+        self.remove_source(&source);
+        for report in &reports {
+            let stats = self.upstreams.entry(report.upstream.clone()).or_default();
+            stats.peers.by(&source).add(&report.load);
+        }
+        if source == Source::Fleet {
+            for stats in self.upstreams.values_mut() {
+                stats.peers.average_prefill();
+            }
+        }
+        self.reports.insert(source, (now, reports));
+    }
+
+    fn remove_source(&mut self, source: &Source) {
+        let Some((_, reports)) = self.reports.remove(source) else {
+            return;
+        };
+        for report in &reports {
+            if let Some(stats) = self.upstreams.get_mut(&report.upstream) {
+                stats.peers.by(source).subtract(&report.load);
+            }
+        }
     }
 
     /// Discards outdated state: expired reports of peers, upstreams for which `keep`
@@ -255,9 +337,11 @@
         cache_age: Duration,
         now: Instant,
     ) {
-        self.sum_peers(now);
-        self.upstreams
-            .retain(|upstream, stats| stats.local.requests > 0 || keep(upstream));
+        self.expire_reports(now);
+        // The sums of reports must last as long as the reports that they are made of.
+        self.upstreams.retain(|upstream, stats| {
+            stats.local.requests > 0 || !stats.peers.is_empty() || keep(upstream)
+        });
         self.cached_parts.retain(|(upstream, _), at| {
             keep(upstream) && now.saturating_duration_since(*at) < cache_age
         });
@@ -270,7 +354,12 @@
             return Load::default();
         };
         let mut load = stats.local;
-        load.add(&stats.peers);
+        if self.has_fleet_report(now) {
+            load.add(&stats.peers.expected_fleet());
+        } else {
+            load.add(&stats.peers.entries);
+            load.add(&stats.peers.domains);
+        }
         let observed = stats
             .observed
             .filter(|observed| now.saturating_duration_since(observed.at) < OBSERVED_EXPIRY);
@@ -303,17 +392,57 @@
             .is_some_and(|until| now < until)
     }
 
-    fn sum_peers(&mut self, now: Instant) {
-        self.peers
-            .retain(|_, (received, _)| now.saturating_duration_since(*received) < PEER_EXPIRY);
-        for stats in self.upstreams.values_mut() {
-            stats.peers = Load::default();
-        }
-        for (_, reports) in self.peers.values() {
-            for report in reports {
-                let stats = self.upstreams.entry(report.upstream.clone()).or_default();
-                stats.peers.add(&report.load);
-            }
+    fn has_fleet_report(&self, now: Instant) -> bool {
+        self.reports
+            .get(&Source::Fleet)
+            .is_some_and(|(received, _)| now.saturating_duration_since(*received) < FLEET_EXPIRY)
+    }
+
+    fn expire_reports(&mut self, now: Instant) {
+        let expired: Vec<Source> = self
+            .reports
+            .iter()
+            .filter(|(_, (received, _))| now.saturating_duration_since(*received) >= PEER_EXPIRY)
+            .map(|(source, _)| source.clone())
+            .collect();
+        for source in expired {
+            self.remove_source(&source);
         }
     }
+
+    /// Returns the load of this entry plus that of the kinds of sources that `parts`
+    /// selects, without the load that `except` reports.
+    fn sums(
+        &self,
+        except: Option<&Name>,
+        parts: impl for<'a> Fn(&'a PeerLoad) -> Vec<&'a Load>,
+    ) -> Vec<LoadReport> {
+        let excepted: HashMap<&UpstreamKey, &Load> = except
+            .and_then(|name| self.reports.get(&Source::Entry(name.clone())))
+            .map(|(_, reports)| {
+                reports
+                    .iter()
+                    .map(|report| (&report.upstream, &report.load))
+            })
+            .into_iter()
+            .flatten()
+            .collect();
+        self.upstreams
+            .iter()
+            .map(|(upstream, stats)| {
+                let mut load = stats.local;
+                for part in parts(&stats.peers) {
+                    load.add(part);
+                }
+                if let Some(excepted) = excepted.get(upstream) {
+                    load.subtract(excepted);
+                }
+                LoadReport {
+                    upstream: upstream.clone(),
+                    load,
+                }
+            })
+            .filter(|report| report.load.requests > 0)
+            .collect()
+    }
 }
--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -34,6 +34,9 @@
     pub windows: Vec<WindowCounts>,
 }
 
+/// Entry name under which a snapshot holds the counts of all entries.
+const TOTAL_NAME: &str = "recorded";
+
 type Windows = BTreeMap<u64, HashMap<Name, u64>>;
 
 /// Counts of this entry and its peers.
@@ -45,7 +48,12 @@
 pub struct Usage {
     window: Duration,
     local: Windows,
+    /// Counts of entries that report directly, by entry and incarnation.
     peers: HashMap<(Name, u64), Windows>,
+    /// Counts of the other failure domains, as their aggregators report them.
+    domains: HashMap<Name, Windows>,
+    /// Counts of all other entries, as aggregators report them.
+    digest: Windows,
 }
 
 impl Usage {
@@ -55,6 +63,8 @@
             window: window.max(Duration::from_millis(1)),
             local: Windows::new(),
             peers: HashMap::default(),
+            domains: HashMap::default(),
+            digest: Windows::new(),
         }
     }
 
@@ -101,18 +111,60 @@
         peers.chain([local]).collect()
     }
 
+    /// Returns the latest counts of all entries together.
+    pub fn snapshot_total(&self) -> IncarnationCounts {
+        let parts = sum(self.peers.values().chain(self.domains.values()));
+        let mut total = parts;
+        for (window, counts) in &self.digest {
+            raise(total.entry(*window).or_default(), counts);
+        }
+        for (window, counts) in &self.local {
+            add(total.entry(*window).or_default(), counts);
+        }
+        IncarnationCounts {
+            entry: TOTAL_NAME.into(),
+            incarnation: 0,
+            windows: latest_counts(&total),
+        }
+    }
+
+    /// Deducts a peer's first report from the counts of all entries read from a
+    /// snapshot. To be called for peers that were already running when the snapshot
+    /// was taken: it includes what they report.
+    pub fn deduct_recorded(&mut self, peer: &Name, incarnation: u64, reports: &[WindowCounts]) {
+        if !self.peers.contains_key(&(peer.clone(), incarnation)) {
+            self.deduct(reports);
+        }
+    }
+
+    /// Deducts the first sum of another failure domain likewise.
+    pub fn deduct_recorded_domain(&mut self, domain: &Name, reports: &[WindowCounts]) {
+        if !self.domains.contains_key(domain) {
+            self.deduct(reports);
+        }
+    }
+
+    fn deduct(&mut self, reports: &[WindowCounts]) {
+        let Some(recorded) = self.peers.get_mut(&(TOTAL_NAME.into(), 0)) else {
+            return;
+        };
+        for report in reports {
+            let Some(counts) = recorded.get_mut(&report.window) else {
+                continue;
+            };
+            for (workspace, count) in &report.counts {
+                if let Some(known) = counts.get_mut(workspace) {
+                    *known = known.saturating_sub(*count);
+                }
+            }
+        }
+    }
+
     /// Merges the counts of one incarnation of a peer. Counts only grow, so the
     /// larger count wins and an older report changes nothing.
     pub fn merge_peer(&mut self, peer: &Name, incarnation: u64, reports: Vec<WindowCounts>) {
         let windows = self.peers.entry((peer.clone(), incarnation)).or_default();
-        for report in reports {
-            let known = windows.entry(report.window).or_default();
-            for (workspace, count) in report.counts {
-                let merged = known.entry(workspace).or_insert(0);
-                *merged = (*merged).max(count);
-            }
-        }
-        drop_oldest(windows);
+        merge(windows, reports);
         let newest_window = self.newest_window();
         self.peers.retain(|_, windows| {
             windows
@@ -121,18 +173,51 @@
         });
     }
 
+    /// Merges the counts of another failure domain that one of its aggregators
+    /// reports.
+    pub fn merge_domain(&mut self, domain: &Name, reports: Vec<WindowCounts>) {
+        merge(self.domains.entry(domain.clone()).or_default(), reports);
+    }
+
+    /// Merges the counts of all other entries that an aggregator reports.
+    pub fn merge_digest(&mut self, reports: Vec<WindowCounts>) {
+        merge(&mut self.digest, reports);
+    }
+
+    /// Returns the latest counts of this entry and of those that report to it
+    /// directly and that `is_included` accepts.
+    pub fn domain_report(&self, is_included: impl Fn(&Name) -> bool) -> Vec<WindowCounts> {
+        let peers = self
+            .peers
+            .iter()
+            .filter(|((entry, _), _)| is_included(entry))
+            .map(|(_, windows)| windows);
+        latest_counts(&sum(peers.chain([&self.local])))
+    }
+
+    /// Returns the latest counts of all entries except one incarnation of `member`.
+    pub fn report_for(&self, member: &Name, incarnation: u64) -> Vec<WindowCounts> {
+        let peers = self
+            .peers
+            .iter()
+            .filter(|((entry, run), _)| entry != member || *run != incarnation)
+            .map(|(_, windows)| windows);
+        let domains = self.domains.values();
+        latest_counts(&sum(peers.chain(domains).chain([&self.local])))
+    }
+
     /// Returns the requests that started in a window at all entries, by
     /// workspace.
     pub fn window_total(&self, window: u64) -> HashMap<Name, u64> {
-        let mut total: HashMap<Name, u64> = HashMap::default();
-        let peers = self.peers.values();
-        for counts in peers
-            .chain([&self.local])
-            .filter_map(|windows| windows.get(&window))
-        {
-            for (workspace, count) in counts {
-                *total.entry(workspace.clone()).or_insert(0) += count;
-            }
+        let parts = self.peers.values().chain(self.domains.values());
+        let mut total = window_sum(parts, window);
+        // Neither the parts nor the digest count a request twice, and both may lack
+        // some.
+        if let Some(counts) = self.digest.get(&window) {
+            raise(&mut total, counts);
+        }
+        if let Some(counts) = self.local.get(&window) {
+            add(&mut total, counts);
         }
         total
     }
@@ -148,6 +233,43 @@
     }
 }
 
+/// Merges reported counts. Counts only grow, so the larger count wins.
+fn merge(windows: &mut Windows, reports: Vec<WindowCounts>) {
+    for report in reports {
+        raise(windows.entry(report.window).or_default(), &report.counts);
+    }
+    drop_oldest(windows);
+}
+
+fn sum<'a>(parts: impl Iterator<Item = &'a Windows>) -> Windows {
+    let mut sum = Windows::new();
+    for (window, counts) in parts.flatten() {
+        add(sum.entry(*window).or_default(), counts);
+    }
+    sum
+}
+
+fn window_sum<'a>(parts: impl Iterator<Item = &'a Windows>, window: u64) -> HashMap<Name, u64> {
+    let mut total = HashMap::default();
+    for counts in parts.filter_map(|windows| windows.get(&window)) {
+        add(&mut total, counts);
+    }
+    total
+}
+
+fn add(total: &mut HashMap<Name, u64>, counts: &HashMap<Name, u64>) {
+    for (workspace, count) in counts {
+        *total.entry(workspace.clone()).or_insert(0) += count;
+    }
+}
+
+fn raise(total: &mut HashMap<Name, u64>, counts: &HashMap<Name, u64>) {
+    for (workspace, count) in counts {
+        let known = total.entry(workspace.clone()).or_insert(0);
+        *known = (*known).max(*count);
+    }
+}
+
 fn latest_counts(windows: &Windows) -> Vec<WindowCounts> {
     windows
         .iter()
--- a/crates/duties/tests/usage.rs
+++ b/crates/duties/tests/usage.rs
@@ -32,6 +32,56 @@
     assert_eq!(usage.window_total(0).get("w"), Some(&4));
 }
 
+/// An aggregator sums up its domain, and the holder of the lease adds up the domains.
+/// Both aggregators of a domain report the same requests.
+#[test]
+fn sums_of_two_aggregators_count_once() {
+    let mut member = Usage::new(WINDOW);
+    member.record_request(&"w".into(), 1_000);
+    let mut aggregators = [Usage::new(WINDOW), Usage::new(WINDOW)];
+    let mut holder = Usage::new(WINDOW);
+    for aggregator in &mut aggregators {
+        aggregator.merge_peer(&"m".into(), 1, member.report());
+        holder.merge_domain(&"keila".into(), aggregator.domain_report(|_| true));
+    }
+    // The second aggregator also began a request of its own.
+    aggregators[1].record_request(&"w".into(), 2_000);
+    holder.merge_domain(&"keila".into(), aggregators[1].domain_report(|_| true));
+    holder.record_request(&"w".into(), 3_000);
+    assert_eq!(holder.window_total(0).get("w"), Some(&3));
+    // A digest covers the same requests as the sums of the domains.
+    let mut other = Usage::new(WINDOW);
+    other.merge_domain(&"keila".into(), aggregators[1].domain_report(|_| true));
+    holder.merge_digest(other.report_for(&"holder".into(), 1));
+    assert_eq!(holder.window_total(0).get("w"), Some(&3));
+}
+
+/// In a large fleet a snapshot holds only totals. Entries that keep running report
+/// most of these requests themselves, and they must not count twice.
+#[test]
+fn snapshot_total_counts_only_what_no_peer_reports() {
+    let mut member = Usage::new(WINDOW);
+    let mut holder = Usage::new(WINDOW);
+    member.record_request(&"w".into(), 1_000);
+    holder.record_request(&"w".into(), 2_000);
+    holder.merge_peer(&"m".into(), 1, member.report());
+    let snapshot = holder.snapshot_total();
+    let mut restarted = Usage::new(WINDOW);
+    let counts = snapshot.clone();
+    restarted.merge_peer(&counts.entry, counts.incarnation, counts.windows);
+    assert_eq!(restarted.window_total(0).get("w"), Some(&2));
+    for _ in 0..2 {
+        restarted.deduct_recorded(&"m".into(), 1, &member.report());
+        restarted.merge_peer(&"m".into(), 1, member.report());
+        assert_eq!(restarted.window_total(0).get("w"), Some(&2));
+    }
+    restarted.record_request(&"w".into(), 3_000);
+    assert_eq!(restarted.window_total(0).get("w"), Some(&3));
+    // The total belongs to no domain, or each domain would add it again.
+    let own_domain = restarted.domain_report(|entry| **entry == *"m");
+    assert_eq!(own_domain[0].counts.get("w"), Some(&2));
+}
+
 #[test]
 fn snapshot_read_after_all_entries_restart_counts_once() {
     let mut holder = Usage::new(WINDOW);
--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -8,6 +8,7 @@
 
 use lycheehaven_catalog::Workspace;
 use lycheehaven_duties::IncarnationCounts;
+use lycheehaven_fleet::Role;
 use lycheehaven_guard::IncarnationSpending;
 use lycheehaven_guard::Quota;
 use lycheehaven_net::sleep_ms;
@@ -21,10 +22,12 @@
 /// Kind and name of the snapshot in the store.
 const COUNTS: (&str, &str) = ("lycheehaven-counts", "last");
 
-/// Largest number of entries whose counts are stored individually, as the size of
-/// the snapshot grows with them. With more entries, only the total spending is
-/// stored.
-const MAX_DETAILED_ENTRIES: usize = 32;
+/// Time after the start within which an entry that is not an aggregator waits for a
+/// digest, which makes up for the snapshot.
+const DIGEST_WAIT: Duration = Duration::from_millis(4000);
+
+/// Interval between checks for a digest, in milliseconds.
+const DIGEST_CHECK_MS: u64 = 50;
 
 /// Pause after a failed call, in milliseconds.
 const RETRY_DELAY_MS: u64 = 200;
@@ -33,10 +36,10 @@
 struct CountsSnapshot {
     /// Time of the snapshot, in milliseconds since the Unix epoch.
     at_ms: i64,
-    /// Spending by entry and incarnation, or a single total if there are many
-    /// entries.
+    /// Spending by entry and incarnation, or a single total if aggregators sum up
+    /// the entries' counts.
     spending: Vec<IncarnationSpending>,
-    /// Usage counts by entry and incarnation; empty if there are many entries.
+    /// Usage counts, likewise.
     usage: Vec<IncarnationCounts>,
 }
 
@@ -84,18 +87,29 @@
         spending: Vec::new(),
         usage: Vec::new(),
     };
-    if node.members.borrow().count() <= MAX_DETAILED_ENTRIES {
-        snapshot.spending = quotas.snapshot(own_name, incarnation, node.now());
-        snapshot.usage = node.usage.borrow().snapshot(own_name, incarnation);
+    let usage = node.usage.borrow();
+    let lag = node.roster.borrow().parts().lag;
+    if node.role.get() == Role::Mesh {
+        snapshot.spending = quotas.snapshot(own_name, incarnation, lag, node.now());
+        snapshot.usage = usage.snapshot(own_name, incarnation);
     } else {
-        snapshot.spending = vec![quotas.snapshot_total(node.now())];
+        snapshot.spending = vec![quotas.snapshot_total(lag, node.now())];
+        snapshot.usage = vec![usage.snapshot_total()];
     }
     snapshot
 }
 
-/// Reads the snapshot once after the start. The entry is not ready before, so this
-/// retries until the store responds.
+/// Reads the snapshot once after the start, unless a digest of an aggregator makes
+/// up for it. The entry is not ready before, so this retries until the store
+/// responds.
 pub(crate) async fn load(node: Rc<Node>) {
+    while node.uptime() < DIGEST_WAIT && !is_aggregator(&node) {
+        if node.quotas.borrow().has_digest(node.now()) {
+            node.counts_loaded.set(true);
+            return;
+        }
+        sleep_ms(DIGEST_CHECK_MS).await;
+    }
     loop {
         match node.store.read(COUNTS.0, COUNTS.1).await {
             Ok(object) => {
@@ -114,6 +128,12 @@
     }
 }
 
+/// Whether this entry is known to be one that sums up counts, or to receive those of
+/// all other entries directly.
+fn is_aggregator(node: &Node) -> bool {
+    node.roster.borrow().is_registered(node.incarnation) && node.role.get() != Role::Member
+}
+
 fn apply(node: &Node, snapshot: Result<CountsSnapshot, serde_json::Error>) {
     let snapshot = match snapshot {
         Ok(snapshot) => snapshot,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -24,7 +24,6 @@
 use lycheehaven_signals::Signals;
 use lycheehaven_types::SystemClock;
 
-use crate::confirm;
 use crate::counts;
 use crate::duty;
 use crate::evacuate;
@@ -92,9 +91,8 @@
     spawn_detached(watch::follow_members(node.clone()));
     spawn_detached(counts::load(node.clone()));
     spawn_detached(members::register(node.clone()));
-    spawn_detached(exchange::send_reports(node.clone(), peers.clone()));
-    spawn_detached(confirm::request_confirmations(node.clone(), peers.clone()));
-    spawn_detached(exchange::receive_datagrams(node.clone(), peers));
+    spawn_detached(exchange::send_messages(node.clone(), peers.clone()));
+    spawn_detached(exchange::receive_messages(node.clone(), peers));
     let lease = LeaseHandle::new(&node);
     spawn_detached(lease.clone().run());
     spawn_detached(duty::run(node.clone(), lease));
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -167,9 +167,8 @@
     /// Returns the next window to report, if its counts are complete.
     fn next_window(&self) -> Option<u64> {
         let node = &self.node;
-        let members = node.members.borrow();
-        let reachable = members.reachable_count(&node.settings.name, node.now());
-        let delay = if reachable + 1 < members.count() {
+        let roster = node.roster.borrow();
+        let delay = if roster.reachable_count(node.now()) + 1 < roster.count() {
             UNREACHABLE_PEERS_DELAY_MS
         } else {
             REPORT_DELAY_MS
@@ -346,11 +345,7 @@
     async fn remove_expired_members(&self) {
         let node = &self.node;
         let now = node.now();
-        let own_name = &node.settings.name;
-        let expired = node
-            .members
-            .borrow_mut()
-            .expired(own_name, MEMBER_EXPIRY, now);
+        let expired = node.roster.borrow_mut().expired(MEMBER_EXPIRY, now);
         for name in expired {
             if let Err(cause) = node.store.delete(MEMBERS, &name).await {
                 let cause = cause.to_string();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -19,6 +19,7 @@
 use lycheehaven_catalog::Catalog;
 use lycheehaven_catalog::Route;
 use lycheehaven_catalog::Workspace;
+use lycheehaven_guard::Charge;
 use lycheehaven_net::Body;
 use lycheehaven_net::CountGuard;
 use lycheehaven_net::json_response;
@@ -31,6 +32,7 @@
 use crate::attempt::Job;
 use crate::counts;
 use crate::node::Node;
+use crate::node::REQUESTED_WINDOW;
 use crate::serve;
 
 /// Time limit for reading a request body, independent of the configured limits.
@@ -219,10 +221,22 @@
     let now = node.now();
     let cost = request_cost(workspace, head);
     let quota = counts::quota(node, workspace);
-    let members = node.member_names();
+    let requested_rate = {
+        let mut requested = node.requested_units.borrow_mut();
+        requested.add(&workspace.name, cost, now);
+        requested.total(&workspace.name, now) / REQUESTED_WINDOW.as_secs_f64()
+    };
+    let charge = Charge {
+        workspace: &workspace.name,
+        quota,
+        cost,
+        requested_rate,
+        draw: rand::random(),
+    };
+    let parts = node.roster.borrow().parts().clone();
     node.quotas
         .borrow_mut()
-        .admit(&workspace.name, quota, cost, &members, now)
+        .admit(&charge, &parts, now)
         .map_err(|exceeded| {
             let message = format!(
                 "the quota of workspace {} is exhausted: {:.0} units used here and {:.0} at other entries, of {:.0}",
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -64,16 +64,21 @@
     }
 
     /// Whether to read the lease from the store. It is read by the entry that holds
-    /// it, and by every entry while no peer is known to hold it.
+    /// it, and while no peer is known to hold it by the entries that may acquire it:
+    /// those that follow the store.
     fn should_poll(&self) -> bool {
         if self.node.stopping.get() {
             return false;
         }
+        if self.node.holds_lease.get() {
+            return true;
+        }
+        let may_acquire = self.node.roster.borrow().is_loaded() && self.node.follows_store();
         let holder_known = self
             .node
             .holder_age(self.node.now())
             .is_some_and(|age| age < HOLDER_TIMEOUT);
-        self.node.holds_lease.get() || !holder_known
+        may_acquire && !holder_known
     }
 
     /// Reads the lease from the store and renews or acquires it if possible.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,10 +5,12 @@
 //! one such attempt, and [`relay`] passes on the events of a stream. The decisions
 //! are pure functions and types in other crates; [`node`] holds their state. Loops
 //! run beside the requests: [`watch`] follows the platform's store, [`exchange`]
-//! sends this entry's counts to its peers, [`evacuate`] moves streams away from
+//! sends this entry's counts to its peers ([`summary`] builds the messages and [`apply`]
+//! applies those of the peers), [`evacuate`] moves streams away from
 //! leaving engines, and [`duty`] reports usage and scales engines while this entry
 //! holds the lease.
 
+mod apply;
 mod attempt;
 mod call;
 mod confirm;
@@ -20,12 +22,14 @@
 mod front;
 mod lease;
 mod members;
+mod message;
 mod metrics;
 mod node;
 mod relay;
 mod serve;
 mod settings;
 mod store;
+mod summary;
 mod watch;
 
 pub use daemon::run;
--- /dev/null
+++ b/crates/gateway/src/message.rs
@@ -0,0 +1,122 @@
+//! Messages between entries.
+
+use std::time::Duration;
+
+use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_dispatch::LoadReport;
+use lycheehaven_duties::WindowCounts;
+use lycheehaven_guard::SpendingSum;
+use lycheehaven_types::Digest;
+use lycheehaven_types::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::confirm::Confirmation;
+
+/// Version of the message format.
+const FORMAT_VERSION: u8 = 3;
+
+/// A periodic message of an entry. It also serves as heartbeat.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Message {
+    pub(crate) status: Status,
+    pub(crate) scope: Scope,
+    pub(crate) counts: Counts,
+}
+
+/// The entries whose counts a message holds.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Scope {
+    /// The sender.
+    Entry,
+    /// All entries of the sender's failure domain.
+    Domain {
+        domain: Name,
+        /// Entries of the domain that are silent, and for how many milliseconds.
+        silent: Vec<(Name, u64)>,
+    },
+    /// All entries except the receiver.
+    Fleet {
+        /// Entries of the fleet that are silent, and for how many milliseconds.
+        silent: Vec<(Name, u64)>,
+        /// Confirms the configuration, in reply to the receiver's last report.
+        confirmation: Option<Confirmation>,
+    },
+}
+
+/// What the sender states about itself, and the news that it passes on.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Status {
+    pub(crate) from: Name,
+    pub(crate) incarnation: u64,
+    /// Milliseconds since the sender's process started.
+    pub(crate) uptime_ms: u64,
+    /// Wall-clock time in milliseconds since the Unix epoch: that of the sender, or
+    /// of the entries that it sums up.
+    pub(crate) wall_ms: i64,
+    /// Upstreams recently found to be leaving.
+    pub(crate) leaving: Vec<UpstreamKey>,
+    /// Upstreams whose registrations are missing, with the store's revision.
+    pub(crate) gone: Vec<(UpstreamKey, u64)>,
+    /// Crash reports: requests, each with an upstream that went down while running
+    /// it.
+    pub(crate) crashes: Vec<(Digest, UpstreamKey)>,
+    /// Milliseconds since a holder of the lease was last known, 0 if the sender
+    /// holds it.
+    pub(crate) holder_age: Option<u64>,
+    /// Version of the configuration in force at the sender, 0 if none.
+    pub(crate) version: u64,
+    /// Milliseconds since the sender's last current response of the store about
+    /// upstreams, if it follows the store.
+    pub(crate) store_age: Option<u64>,
+}
+
+/// Counts of the entries in a message's scope.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Counts {
+    /// Quota units spent in the last window.
+    pub(crate) spending: SpendingSum,
+    /// Quota units that callers requested in the last second, by workspace.
+    pub(crate) requested: Vec<(Name, f64)>,
+    /// Requests that upstreams started, by window and workspace.
+    pub(crate) usage: Vec<WindowCounts>,
+    /// Load caused at each upstream; `None` in digests between two that state it.
+    pub(crate) loads: Option<Vec<LoadReport>>,
+    /// Engine time that callers recently requested, in milliseconds, by service.
+    pub(crate) demand: Vec<(Name, f64)>,
+}
+
+impl Message {
+    /// Encodes the format version and the message as MessagePack.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(&(FORMAT_VERSION, self)).expect("messages serialize to MessagePack")
+    }
+
+    /// Decodes a message. Returns `None` if it has another format version.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Option<Self>, rmp_serde::decode::Error> {
+        // The version is the first element of an array of two.
+        if bytes.get(1) != Some(&FORMAT_VERSION) {
+            return Ok(None);
+        }
+        rmp_serde::from_slice::<(u8, Self)>(bytes).map(|(_, message)| Some(message))
+    }
+}
+
+/// Encodes durations in milliseconds, [`Duration::MAX`] as the largest number.
+pub(crate) fn encode_silent(silent: Vec<(Name, Duration)>) -> Vec<(Name, u64)> {
+    silent
+        .into_iter()
+        .map(|(name, duration)| {
+            let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+            (name, millis)
+        })
+        .collect()
+}
+
+/// Decodes what [`encode_silent`] encoded.
+pub(crate) fn decode_silent(silent: &[(Name, u64)]) -> Vec<(Name, Duration)> {
+    silent
+        .iter()
+        .map(|(name, millis)| (name.clone(), Duration::from_millis(*millis)))
+        .collect()
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,27 +10,41 @@
 use lycheehaven_catalog::Directory;
 use lycheehaven_catalog::FollowerLiveness;
 use lycheehaven_catalog::UpstreamKey;
-use lycheehaven_catalog::follows_store;
 use lycheehaven_channels::Pool;
 use lycheehaven_dispatch::CostModel;
 use lycheehaven_dispatch::LoadTracker;
 use lycheehaven_duties::Demand;
 use lycheehaven_duties::MedianClock;
 use lycheehaven_duties::Usage;
+use lycheehaven_fleet::FleetSums;
+use lycheehaven_fleet::Role;
+use lycheehaven_fleet::Roster;
 use lycheehaven_guard::CrashTracker;
 use lycheehaven_guard::QuotaTracker;
 use lycheehaven_guard::RetryBudget;
 use lycheehaven_guard::RetryBudgetConfig;
 use lycheehaven_types::Clock;
+use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use tokio_util::sync::CancellationToken;
 
 use crate::evacuate::Streams;
-use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::store::Store;
 
+/// Window over which the quota units that callers request are summed up.
+pub(crate) const REQUESTED_WINDOW: Duration = Duration::from_secs(1);
+
+/// The last report of an entry that reports to this one directly.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LastReport {
+    pub(crate) incarnation: u64,
+    /// Time of the report, in milliseconds since the entry's process started.
+    pub(crate) uptime_ms: u64,
+    pub(crate) holds_lease: bool,
+}
+
 /// The state of an entry.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -40,10 +54,15 @@
     pub(crate) store: Store,
     pub(crate) config: RefCell<ActiveConfig>,
     pub(crate) directory: RefCell<Directory>,
-    pub(crate) members: RefCell<Members>,
+    pub(crate) roster: RefCell<Roster>,
+    /// What this entry does in the exchange of messages.
+    pub(crate) role: Cell<Role>,
+    pub(crate) last_reports: RefCell<HashMap<Name, LastReport>>,
     pub(crate) loads: RefCell<LoadTracker>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) quotas: RefCell<QuotaTracker>,
+    /// Quota units that callers requested in the last second, by workspace.
+    pub(crate) requested_units: RefCell<FleetSums>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) crash_tracker: RefCell<CrashTracker>,
     pub(crate) usage: RefCell<Usage>,
@@ -69,8 +88,6 @@
     /// Newest version reported by a peer when this entry last asked the store for
     /// the configuration.
     requested_version: Cell<u64>,
-    /// When a peer last requested a confirmation of the configuration.
-    pub(crate) confirm_requested: Cell<Option<Instant>>,
     /// Tracks whether peers that follow the store send reports to this entry.
     pub(crate) follower_liveness: RefCell<FollowerLiveness>,
     /// Requests whose responses are not complete.
@@ -97,16 +114,24 @@
         });
         let quotas = QuotaTracker::new(Duration::from_secs_f64(bounds.quota_window_s));
         let usage = Usage::new(Duration::from_secs_f64(bounds.window_s));
+        let roster = Roster::new(
+            settings.name.clone(),
+            settings.domain.clone(),
+            settings.mesh_limit,
+        );
         Rc::new(Self {
             incarnation: rand::random(),
             started: clock.now(),
             store: Store::new(settings.store.address),
             config: RefCell::default(),
             directory: RefCell::default(),
-            members: RefCell::default(),
+            roster: RefCell::new(roster),
+            role: Cell::new(Role::Mesh),
+            last_reports: RefCell::default(),
             loads: RefCell::default(),
             pool: RefCell::default(),
             quotas: RefCell::new(quotas),
+            requested_units: RefCell::new(FleetSums::new(REQUESTED_WINDOW)),
             retry_budget: RefCell::new(retry_budget),
             crash_tracker: RefCell::default(),
             usage: RefCell::new(usage),
@@ -122,7 +147,6 @@
             upstreams_read: Cell::new(None),
             peer_version: Cell::new(0),
             requested_version: Cell::new(0),
-            confirm_requested: Cell::new(None),
             follower_liveness: RefCell::default(),
             open_requests: Rc::default(),
             stopping: Cell::new(false),
@@ -163,9 +187,17 @@
 
     /// Whether this entry is one of those that follow the store.
     pub(crate) fn follows_store(&self) -> bool {
-        let members = self.members.borrow();
-        let neighbours = members.in_domain(&self.settings.domain);
-        follows_store(&self.settings.name, neighbours)
+        self.role.get() != Role::Member
+    }
+
+    /// Determines what this entry does in the exchange of messages.
+    pub(crate) fn update_role(&self) -> Role {
+        let role = self.roster.borrow_mut().role(self.now());
+        if self.role.replace(role) != role {
+            let name = format!("{role:?}");
+            log::info!(target: "lycheehaven", role = name.as_str(); "the role in the exchange of messages changed");
+        }
+        role
     }
 
     /// Records that a peer held the lease `age` ago.
@@ -209,7 +241,7 @@
     /// Whether the state for enforcing quotas is known: which entries share the
     /// quotas, and what was spent before this entry started.
     pub(crate) fn has_quota_state(&self) -> bool {
-        self.members.borrow().is_loaded() && self.counts_loaded.get()
+        self.roster.borrow().is_loaded() && self.counts_loaded.get()
     }
 
     /// Returns the current values of the state metrics.
@@ -218,7 +250,7 @@
         let age = self.config.borrow().age(now);
         let directory = self.directory.borrow();
         let ready = directory.all().filter(|up| directory.is_usable(up)).count();
-        let members = self.members.borrow();
+        let roster = self.roster.borrow();
         vec![
             (
                 "config_age_ms",
@@ -229,10 +261,11 @@
             ("ready", i64::from(self.is_ready())),
             ("upstreams_leaving", directory.leaving_count() as i64),
             ("upstreams_ready", ready as i64),
-            ("entries", members.count() as i64),
+            ("entries", roster.count() as i64),
+            ("entries_heard", roster.reachable_count(now) as i64),
             (
-                "entries_heard",
-                members.reachable_count(&self.settings.name, now) as i64,
+                "is_aggregator",
+                i64::from(self.role.get() == Role::Aggregator),
             ),
         ]
     }
@@ -245,11 +278,6 @@
             .now_millis(self.clock.wall(), self.now())
     }
 
-    /// Returns the names of all entries that share quotas, including this one.
-    pub(crate) fn member_names(&self) -> Vec<Name> {
-        self.members.borrow().names(&self.settings.name)
-    }
-
     /// Marks an upstream as leaving.
     pub(crate) fn mark_leaving(&self, key: &UpstreamKey, source: &str) {
         if self.directory.borrow_mut().mark_leaving(key, self.now()) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -318,7 +318,7 @@
             let now = self.node.now();
             let target = serve::pick_target(&self.node, &self.job, &self.tried, now)
                 .map_err(|failure| failure.message)?;
-            let members = self.node.members.borrow().count();
+            let members = self.node.roster.borrow().count();
             let service = &self.job.service;
             if !self
                 .node
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -119,7 +119,7 @@
     }
     let target = pick_target(node, job, &attempts.tried, now)?;
     if attempts.delivered > 0 {
-        let members = node.members.borrow().count();
+        let members = node.roster.borrow().count();
         if !node
             .retry_budget
             .borrow_mut()
@@ -167,7 +167,7 @@
     let service = catalog
         .as_ref()
         .and_then(|catalog| catalog.services.get(&job.service));
-    let members = node.members.borrow().count();
+    let members = node.roster.borrow().count();
     let max_connections = service.map_or(usize::MAX, |service| service.max_connections);
     let connection_limit = (max_connections / members).max(1);
     let query = Query {
@@ -246,7 +246,7 @@
         && pick_target(node, job, &attempts.tried, now).is_ok()
         && node.retry_budget.borrow_mut().has_remaining(
             &job.service,
-            node.members.borrow().count(),
+            node.roster.borrow().count(),
             now,
         )
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::time::Duration;
 
+use lycheehaven_fleet::Capacity;
+use lycheehaven_fleet::MESH_LIMIT;
 use lycheehaven_types::Name;
 use serde::Deserialize;
 
@@ -35,6 +37,14 @@
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     pub first_start: bool,
+    /// Resources of this entry's VM. In a large fleet, the largest entries of each
+    /// failure domain sum up the counts of the others.
+    #[serde(default)]
+    pub capacity: CapacitySettings,
+    /// Largest fleet whose entries send their counts to one another directly. In a
+    /// larger one, some entries of each failure domain sum them up.
+    #[serde(default = "default_mesh_limit")]
+    pub mesh_limit: usize,
     /// File descriptors that the process may open.
     #[serde(default = "default_descriptors")]
     pub descriptors: usize,
@@ -43,6 +53,28 @@
     pub log_level: String,
 }
 
+/// Resources of a VM.
+#[derive(Debug, Clone, PartialEq, Default, Deserialize)]
+#[serde(default)]
+pub struct CapacitySettings {
+    /// Share of the processor, in cores.
+    pub cpu_share: f64,
+    /// Bandwidth of the network link, in Mbit/s.
+    pub link_mbps: f64,
+    /// Memory, in MB.
+    pub memory_mb: f64,
+}
+
+impl CapacitySettings {
+    pub(crate) fn capacity(&self) -> Capacity {
+        Capacity {
+            cpu_millis: (self.cpu_share * 1000.0) as u32,
+            link_mbps: self.link_mbps as u32,
+            memory_mb: self.memory_mb as u32,
+        }
+    }
+}
+
 /// Settings for the platform's object store.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct StoreSettings {
@@ -147,6 +179,10 @@
     }
 }
 
+fn default_mesh_limit() -> usize {
+    MESH_LIMIT
+}
+
 fn default_descriptors() -> usize {
     4096
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,9 +12,11 @@
 use lycheehaven_adapter::store::Change;
 use lycheehaven_adapter::store::Object;
 use lycheehaven_adapter::store::ReadConsistency;
+use lycheehaven_fleet::Role;
 use lycheehaven_net::sleep_ms;
 
 use crate::confirm;
+use crate::members;
 use crate::members::MEMBERS;
 use crate::node::Node;
 use crate::store::StoreError;
@@ -25,12 +27,17 @@
 /// confirmation.
 const CONFIG_LONG_POLL: Duration = Duration::from_millis(1500);
 
-/// Long-poll time of a watch on the configuration while peers depend on this
-/// entry's confirmations.
-const DEPENDENTS_LONG_POLL: Duration = Duration::from_millis(600);
+/// Long-poll time of a watch on the configuration at an aggregator, whose
+/// confirmations reach other entries up to half a second later.
+const AGGREGATOR_CONFIG_LONG_POLL: Duration = Duration::from_millis(800);
 
-/// Long-poll time of a watch whose response may be stale.
-const STALE_LONG_POLL: Duration = Duration::from_millis(6000);
+/// Long-poll time of a stale watch on upstreams. It bounds the time until a dead
+/// connection to the store is detected.
+const STALE_SERVERS_LONG_POLL: Duration = Duration::from_millis(6000);
+
+/// Long-poll time of a stale watch on the configuration, of which peers report a
+/// newer version, or on the other entries.
+const STALE_LONG_POLL: Duration = Duration::from_millis(25_000);
 
 /// Long-poll time of a watch on upstreams. It bounds the time until a dead
 /// connection to the store is detected.
@@ -43,17 +50,21 @@
 /// receives their messages, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 100;
 
-/// Delay before the next watch after a change, in milliseconds. Changes often
-/// come in bursts and each call to the store is billed, so they are batched.
-const BATCH_DELAY_MS: u64 = 400;
+/// Bounds of the delay before the next watch after a change, in milliseconds.
+/// Changes often come in bursts and each call to the store is billed, so they are
+/// batched.
+const BATCH_DELAY_MS: (u64, u64) = (400, 800);
+
+/// Part of the drain time of upstreams that the same delay takes, so that a leaving
+/// upstream is noticed in time.
+const BATCH_DRAIN_DIVISOR: u64 = 5;
 
 /// Longest delay before the next watch where stale responses are sufficient, in
 /// milliseconds.
 const MAX_STALE_DELAY_MS: u64 = 1000;
 
-/// The drain time of upstreams divided by this bounds the same delay, so that a
-/// leaving upstream is noticed in time.
-const DRAIN_DIVISOR: u64 = 4;
+/// The drain time divided by this bounds that delay.
+const STALE_DRAIN_DIVISOR: u64 = 4;
 
 /// Pause after a failed call, in milliseconds.
 const RETRY_DELAY_MS: u64 = 150;
@@ -138,11 +149,13 @@
 
 /// Returns the delay before the next watch after a change, in milliseconds.
 fn batch_delay_ms(node: &Node, consistency: ReadConsistency) -> u64 {
+    let drain_ms = node.settings.bounds.drain_ms;
     match consistency {
-        ReadConsistency::Current => BATCH_DELAY_MS,
-        ReadConsistency::Stale => {
-            MAX_STALE_DELAY_MS.min(node.settings.bounds.drain_ms / DRAIN_DIVISOR)
+        ReadConsistency::Current => {
+            let (shortest, longest) = BATCH_DELAY_MS;
+            (drain_ms / BATCH_DRAIN_DIVISOR).clamp(shortest, longest)
         }
+        ReadConsistency::Stale => MAX_STALE_DELAY_MS.min(drain_ms / STALE_DRAIN_DIVISOR),
     }
 }
 
@@ -207,7 +220,10 @@
                 .borrow_mut()
                 .replace(upstreams, revision, now);
         }
-        Topic::Members => node.members.borrow_mut().replace(&objects),
+        Topic::Members => {
+            let members = objects.iter().filter_map(members::decode).collect();
+            node.roster.borrow_mut().replace(members);
+        }
     }
     Ok(revision)
 }
@@ -238,10 +254,7 @@
                 }
             }
             Topic::Servers => apply_server(node, change, changes.revision, now),
-            Topic::Members => node
-                .members
-                .borrow_mut()
-                .update(&change.object, change.deleted),
+            Topic::Members => apply_member(node, change),
         }
     }
     // A stale response may be older than the known state.
@@ -290,18 +303,15 @@
 /// Returns the long-poll time of a watch. A watch on the configuration must
 /// return before the last confirmation expires, since its response renews it.
 fn long_poll(node: &Node, topic: Topic, consistency: ReadConsistency) -> Duration {
-    if consistency == ReadConsistency::Stale {
-        return STALE_LONG_POLL;
-    }
-    match topic {
-        Topic::Servers => SERVERS_LONG_POLL,
-        Topic::Members => MEMBERS_LONG_POLL,
-        Topic::Config => {
-            let has_dependents = confirm::has_dependents(node);
-            let wait = if has_dependents {
-                DEPENDENTS_LONG_POLL
-            } else {
-                CONFIG_LONG_POLL
+    match (topic, consistency) {
+        (Topic::Servers, ReadConsistency::Stale) => STALE_SERVERS_LONG_POLL,
+        (_, ReadConsistency::Stale) => STALE_LONG_POLL,
+        (Topic::Servers, ReadConsistency::Current) => SERVERS_LONG_POLL,
+        (Topic::Members, ReadConsistency::Current) => MEMBERS_LONG_POLL,
+        (Topic::Config, ReadConsistency::Current) => {
+            let wait = match node.role.get() {
+                Role::Aggregator => AGGREGATOR_CONFIG_LONG_POLL,
+                Role::Mesh | Role::Member => CONFIG_LONG_POLL,
             };
             let stale_after = node.settings.bounds.stale_after();
             stale_after.map_or(wait, |bound| wait.min(bound.mul_f64(0.4)))
@@ -333,6 +343,15 @@
     }
 }
 
+fn apply_member(node: &Node, change: &Change) {
+    let mut roster = node.roster.borrow_mut();
+    if change.deleted {
+        roster.remove(&change.object.name.as_str().into());
+    } else if let Some((name, member)) = members::decode(&change.object) {
+        roster.update(name, member);
+    }
+}
+
 /// Applies a change of an upstream's registration. `revision` is the store's
 /// revision up to which the change is known.
 fn apply_server(node: &Node, change: &Change, revision: u64, now: Instant) {
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -8,12 +8,16 @@
 mod budget;
 mod crash_tracker;
 mod quota;
+mod spending;
+mod throttle;
 
 pub use budget::RetryBudget;
 pub use budget::RetryBudgetConfig;
 pub use crash_tracker::CrashTracker;
+pub use quota::Charge;
 pub use quota::IncarnationSpending;
 pub use quota::Quota;
 pub use quota::QuotaExceeded;
 pub use quota::QuotaTracker;
 pub use quota::SNAPSHOT_CHECK_INTERVAL;
+pub use spending::SpendingSum;
--- a/crates/guard/src/quota.rs
+++ b/crates/guard/src/quota.rs
@@ -3,15 +3,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_fleet::Parts;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use lycheehaven_types::SlidingSum;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Time without a report after which a peer is assumed to spend at least its even
-/// share of the quota.
-const PEER_TIMEOUT: Duration = Duration::from_millis(900);
+use crate::spending::RemoteSpending;
+use crate::spending::SpendingSum;
+use crate::spending::add_all;
+use crate::throttle;
 
 /// Units that a workspace may spend in one window.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -51,11 +53,20 @@
     totals: HashMap<Name, f64>,
 }
 
-#[derive(Debug)]
-struct PeerSpending {
-    incarnation: u64,
-    reported_at: Instant,
-    spent: HashMap<Name, f64>,
+/// A request to spend units of a workspace's quota.
+#[derive(Debug, Clone, Copy)]
+pub struct Charge<'a> {
+    /// Workspace that pays.
+    pub workspace: &'a Name,
+    /// Its quota.
+    pub quota: Quota,
+    /// Units to spend.
+    pub cost: f64,
+    /// Units per second that the workspace's callers request at all entries together.
+    pub requested_rate: f64,
+    /// Random number from 0 to 1 that decides if only a part of the requests can be
+    /// admitted.
+    pub draw: f64,
 }
 
 /// Fraction of the permitted excess that is spent deliberately. The rest covers
@@ -70,11 +81,6 @@
 /// Interval between checks of whether a snapshot is due.
 pub const SNAPSHOT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Age that the spending in the last snapshot can reach before all entries are
-/// killed: the next snapshot is taken up to 250 ms later, and peers' spending is
-/// known 200 ms late.
-const MAX_SNAPSHOT_LAG: Duration = Duration::from_millis(450);
-
 /// Entry name under which a snapshot holds the spending projected until the next
 /// snapshot.
 const PROJECTED_NAME: &str = "expected";
@@ -96,15 +102,17 @@
 /// Tracks what each workspace spent at this entry and at its peers.
 ///
 /// The spending of all entries together stays within a quota, plus what is spent
-/// between two reports: an entry adds the peers' last reports to its own
-/// spending, and reserves the even share of every peer that does not report. An
-/// entry that is cut off reserves the shares of all its peers, and so stays
-/// within its own share.
+/// until a report has reached all entries: an entry adds the peers' last reports to
+/// its own spending, and reserves the even share of every peer that does not
+/// report. An entry that is cut off reserves the shares of all its peers, and so
+/// stays within its own share. Where callers request more than is left, only a
+/// random part of their requests is admitted, so that the entries together do not
+/// spend what is left several times before they learn of one another.
 #[derive(Debug)]
 pub struct QuotaTracker {
     window: Duration,
     local: HashMap<Name, SlidingSum>,
-    peers: HashMap<Name, PeerSpending>,
+    remote: RemoteSpending,
     last_snapshot: Option<SnapshotTotals>,
 }
 
@@ -114,16 +122,11 @@
         Self {
             window,
             local: HashMap::default(),
-            peers: HashMap::default(),
+            remote: RemoteSpending::new(window),
             last_snapshot: None,
         }
     }
 
-    /// Returns the length of the window.
-    pub fn window(&self) -> Duration {
-        self.window
-    }
-
     /// Replaces a peer's reported spending in the last window. `now` is the time of
     /// the report.
     pub fn update_peer(
@@ -133,64 +136,75 @@
         spent: &[(Name, f64)],
         now: Instant,
     ) {
-        let reported: HashMap<Name, f64> = spent.iter().cloned().collect();
-        let report = PeerSpending {
-            incarnation,
-            reported_at: now,
-            spent: reported,
-        };
-        match self.peers.get(peer) {
-            Some(known) if known.reported_at > now => {
-                // The report is older than the known one. It counts only if it
-                // belongs to another incarnation.
-                if known.incarnation != incarnation {
-                    let earlier = format!("{peer}/{incarnation}");
-                    self.peers.insert(earlier.into(), report);
-                }
-                return;
-            }
-            // A restarted peer starts at zero. The spending of its previous
-            // incarnation counts until the window has passed.
-            Some(known) if known.incarnation != incarnation => {
-                let earlier = format!("{peer}/{}", known.incarnation);
-                let known = self.peers.insert(peer.clone(), report);
-                if let Some(known) = known {
-                    self.peers.insert(earlier.into(), known);
-                }
-            }
-            _ => {
-                self.peers.insert(peer.clone(), report);
-            }
+        self.remote.update_entry(peer, incarnation, spent, now);
+    }
+
+    /// Replaces the spending of another failure domain that one of its aggregators
+    /// reports.
+    pub fn update_domain(&mut self, domain: &Name, sender: &Name, sum: &SpendingSum, now: Instant) {
+        self.remote.update_domain(domain, sender, sum, now);
+    }
+
+    /// Replaces the spending of all other entries that an aggregator reports.
+    pub fn update_digest(&mut self, sender: &Name, sum: &SpendingSum, now: Instant) {
+        self.remote.update_digest(sender, sum, now);
+    }
+
+    /// Whether an aggregator currently reports the spending of all other entries.
+    pub fn has_digest(&self, now: Instant) -> bool {
+        self.remote.has_digest(now)
+    }
+
+    /// Returns the spending of this entry and of those that report to it directly.
+    pub fn domain_sum(&mut self, parts: &Parts, now: Instant) -> SpendingSum {
+        // What a snapshot holds for the whole fleet belongs to no domain.
+        let mut sum = self
+            .remote
+            .sum_entries(None, |entry| !is_fleet_wide(entry), now);
+        add_all(&mut sum, &self.local_spending(now).into_iter().collect());
+        SpendingSum {
+            spent: sum.into_iter().collect(),
+            silent: self.remote.silent_entries(None, parts, now),
+        }
+    }
+
+    /// Returns the spending of all entries except `member`, for a digest.
+    pub fn digest_for(&mut self, member: &Name, parts: &Parts, now: Instant) -> SpendingSum {
+        let mut sum = self.remote.sum_entries(Some(member), |_| true, now);
+        add_all(&mut sum, &self.local_spending(now).into_iter().collect());
+        self.remote.add_domains(&mut sum, now);
+        let silent = self.remote.silent_entries(Some(member), parts, now)
+            + self.remote.silent_in_domains(parts, now);
+        SpendingSum {
+            spent: sum.into_iter().collect(),
+            silent,
         }
-        let window = self.window;
-        self.peers
-            .retain(|_, known| now.saturating_duration_since(known.reported_at) < window);
     }
 
     /// Takes a snapshot: the spending of each incarnation of an entry in the last
     /// window, that of this entry under `own_name`, and the spending of all entries that
-    /// is projected until the next snapshot.
+    /// is projected until the next snapshot. `lag` is the time until a report has
+    /// reached all entries.
     pub fn snapshot(
         &mut self,
         own_name: &Name,
         incarnation: u64,
+        lag: Duration,
         now: Instant,
     ) -> Vec<IncarnationSpending> {
         let projected = IncarnationSpending {
             entry: PROJECTED_NAME.into(),
             incarnation,
-            spent: self.project_spending(now),
+            spent: self.project_spending(lag, now),
         };
         let local = IncarnationSpending {
             entry: own_name.clone(),
             incarnation,
             spent: self.local_spending(now),
         };
-        let window = self.window;
         let peers = self
-            .peers
-            .iter()
-            .filter(|(_, known)| now.saturating_duration_since(known.reported_at) < window)
+            .remote
+            .recent_entries(now)
             .map(|(entry, known)| IncarnationSpending {
                 entry: entry.clone(),
                 incarnation: known.incarnation,
@@ -202,8 +216,8 @@
     /// Takes a snapshot that holds only totals over all entries: for each
     /// workspace, its spending in the last window plus the spending projected until
     /// the next snapshot.
-    pub fn snapshot_total(&mut self, now: Instant) -> IncarnationSpending {
-        let projected: HashMap<Name, f64> = self.project_spending(now).into_iter().collect();
+    pub fn snapshot_total(&mut self, lag: Duration, now: Instant) -> IncarnationSpending {
+        let projected: HashMap<Name, f64> = self.project_spending(lag, now).into_iter().collect();
         let spent = self
             .workspaces()
             .into_iter()
@@ -224,11 +238,24 @@
     /// called for peers that were already running when the snapshot was taken: its
     /// total includes what they report.
     pub fn deduct_recorded(&mut self, peer: &Name, incarnation: u64, spent: &[(Name, f64)]) {
-        let known = self.peers.get(peer);
-        if known.is_some_and(|known| known.incarnation == incarnation) {
-            return;
+        let known = self.remote.entries.get(peer);
+        if known.is_none_or(|known| known.incarnation != incarnation) {
+            self.deduct(spent);
+        }
+    }
+
+    /// Deducts the first sum of another failure domain from the total read from a
+    /// snapshot. To be called if the domain's aggregator was already running when
+    /// the snapshot was taken.
+    pub fn deduct_recorded_domain(&mut self, domain: &Name, sum: &SpendingSum, now: Instant) {
+        if !self.remote.knows_domain(domain, now) {
+            self.deduct(&sum.spent);
         }
-        let Some(recorded) = self.peers.get_mut(TOTAL_NAME) else {
+    }
+
+    fn deduct(&mut self, spent: &[(Name, f64)]) {
+        let total_name: Name = TOTAL_NAME.into();
+        let Some(recorded) = self.remote.entries.get_mut(&total_name) else {
             return;
         };
         for (workspace, units) in spent {
@@ -241,14 +268,14 @@
     /// Stores the current totals as those of the last snapshot. Returns the
     /// spending until the next snapshot, projected from the increase since the
     /// previous one.
-    fn project_spending(&mut self, now: Instant) -> Vec<(Name, f64)> {
+    fn project_spending(&mut self, lag: Duration, now: Instant) -> Vec<(Name, f64)> {
         let totals: HashMap<Name, f64> = self
             .workspaces()
             .into_iter()
             .map(|workspace| (workspace.clone(), self.total(&workspace, now)))
             .collect();
         let last = self.last_snapshot.take();
-        let projected = last.map_or_else(Vec::new, |last| projected_rise(&last, &totals, now));
+        let projected = last.map_or_else(Vec::new, |last| projected_rise(&last, &totals, lag, now));
         self.last_snapshot = Some(SnapshotTotals { at: now, totals });
         projected
     }
@@ -269,14 +296,7 @@
             .local
             .get_mut(workspace)
             .map_or(0.0, |sum| sum.sum(now));
-        let window = self.window;
-        let peers: f64 = self
-            .peers
-            .values()
-            .filter(|known| now.saturating_duration_since(known.reported_at) < window)
-            .filter_map(|known| known.spent.get(workspace))
-            .sum();
-        local + peers
+        local + self.remote.known(workspace, now)
     }
 
     /// Returns whether a workspace's spending since the last snapshot calls for a new
@@ -289,33 +309,47 @@
         total - recorded.unwrap_or(0.0) > quota.units * SNAPSHOT_RISE_FRACTION
     }
 
-    /// Spends `cost` units if the quota allows it. `members` are all entries that
-    /// may be running, including this one.
+    /// Spends units if the quota allows it. `parts` are the parts of the fleet that
+    /// report to this entry.
     ///
     /// # Errors
     /// Returns the spending that exhausts the quota, and the time after which the
     /// cost may be admitted.
     pub fn admit(
         &mut self,
-        workspace: &Name,
-        quota: Quota,
-        cost: f64,
-        members: &[Name],
+        charge: &Charge<'_>,
+        parts: &Parts,
         now: Instant,
     ) -> Result<(), QuotaExceeded> {
-        let remote = self.remote_spending(workspace, quota, members, now);
+        let Charge {
+            workspace,
+            quota,
+            cost,
+            ..
+        } = *charge;
+        let share = quota.units / parts.entry_count() as f64;
+        let remote = self.remote.reserved(workspace, share, parts, now);
         let window = self.window;
         let local = self
             .local
             .entry(workspace.clone())
             .or_insert_with(|| SlidingSum::new(window));
-        let total = local.sum(now) + remote + cost;
-        let over = total - (quota.units + quota.slack);
-        if over > 0.0 {
+        let spent = local.sum(now);
+        let left = quota.units + quota.slack - spent - remote;
+        if cost > left {
             return Err(QuotaExceeded {
-                local: local.sum(now),
+                local: spent,
                 remote,
-                retry_after: local.time_until_expired(over, now),
+                retry_after: local.time_until_expired(cost - left, now),
+            });
+        }
+        let refill = quota.units / window.as_secs_f64();
+        let accepted = throttle::accepted_fraction(left, refill, charge.requested_rate, parts.lag);
+        if charge.draw >= accepted {
+            return Err(QuotaExceeded {
+                local: spent,
+                remote,
+                retry_after: throttle::RETRY_AFTER,
             });
         }
         local.add(cost, now);
@@ -323,48 +357,21 @@
     }
 
     fn workspaces(&self) -> Vec<Name> {
-        let peers = self.peers.values().flat_map(|known| known.spent.keys());
-        let mut names: Vec<Name> = self.local.keys().chain(peers).cloned().collect();
+        let mut names: Vec<Name> = self
+            .local
+            .keys()
+            .chain(self.remote.workspaces())
+            .cloned()
+            .collect();
         names.sort_unstable();
         names.dedup();
         names
     }
+}
 
-    fn remote_spending(
-        &self,
-        workspace: &Name,
-        quota: Quota,
-        members: &[Name],
-        now: Instant,
-    ) -> f64 {
-        let share = quota.units / members.len().max(1) as f64;
-        let is_reporting = |peer: &Name| {
-            self.peers.get(peer).is_some_and(|known| {
-                now.saturating_duration_since(known.reported_at) < PEER_TIMEOUT
-            })
-        };
-        let reported = |known: &PeerSpending| known.spent.get(workspace).copied().unwrap_or(0.0);
-        let mut total = 0.0;
-        for (peer, known) in &self.peers {
-            if now.saturating_duration_since(known.reported_at) >= self.window {
-                continue;
-            }
-            let is_silent = members.contains(peer) && !is_reporting(peer);
-            total += if is_silent {
-                reported(known).max(share)
-            } else {
-                reported(known)
-            };
-        }
-        // `members` includes this entry, which is never in `peers`.
-        let known = members.iter().filter(|peer| {
-            self.peers
-                .get(*peer)
-                .is_some_and(|known| now.saturating_duration_since(known.reported_at) < self.window)
-        });
-        let unknown = members.len().saturating_sub(1 + known.count());
-        total + unknown as f64 * share
-    }
+/// Whether an entry name stands for spending of the whole fleet in a snapshot.
+fn is_fleet_wide(entry: &Name) -> bool {
+    **entry == *TOTAL_NAME || **entry == *PROJECTED_NAME
 }
 
 /// Returns the spending projected until the next snapshot, by workspace. An
@@ -373,12 +380,15 @@
 fn projected_rise(
     last: &SnapshotTotals,
     totals: &HashMap<Name, f64>,
+    lag: Duration,
     now: Instant,
 ) -> Vec<(Name, f64)> {
     let elapsed = now
         .saturating_duration_since(last.at)
         .clamp(SNAPSHOT_CHECK_INTERVAL / 2, SNAPSHOT_CHECK_INTERVAL);
-    let intervals = MAX_SNAPSHOT_LAG.as_secs_f64() / elapsed.as_secs_f64();
+    // The age that the spending in a snapshot reaches before the next one is taken.
+    let max_age = SNAPSHOT_CHECK_INTERVAL + lag;
+    let intervals = max_age.as_secs_f64() / elapsed.as_secs_f64();
     totals
         .iter()
         .map(|(workspace, total)| {
