Choose among the cached engines and a sample of three

Cause: with digests all entries know the same loads, some 400 ms late, and choose the same engine until the next digest. In the new test, without a sample one of 60 engines gets all requests of an interval. Before, reports of random peers made each entry's view differ, which hid this.

Change: where reports pass through aggregators, a request considers the engines that have its shared parts cached and three random others. It is refused only if none of all engines could begin it in time.

Ruled out: loads too old.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -73,8 +73,12 @@
     pub domain: &'a str,
     /// Properties of the service's engines, if it has any.
     pub engine: Option<&'a EngineSpec>,
-    /// Random number that breaks ties.
+    /// Random number that breaks ties and selects the sample.
     pub draw: u64,
+    /// Number of upstreams to consider beside those that have the prompt cached. Where
+    /// reports of load are older than the time between two requests to an upstream,
+    /// entries that consider all of them choose the same one until the next report.
+    pub sample: Option<usize>,
 }
 
 /// The chosen upstream with the estimates that led to the choice.
@@ -123,18 +127,41 @@
         .filter(|upstream| !tracker.in_backoff(&upstream.key, now))
         .collect();
     let shared = shared_parts(query.prompt);
+    let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
     let preferred = shared
         .last()
         .and_then(|part| preferred(&candidates, &part.id));
-    candidates
-        .into_iter()
-        .map(|upstream| {
-            let uncached_shared = match preferred {
-                Some(preferred) if preferred.key == upstream.key => 0,
-                _ => uncached_shared_tokens(upstream, shared, tracker),
-            };
-            model.estimate(upstream, uncached_shared, query, tracker, now)
+    let uncached: Vec<(&Upstream, u64)> = candidates
+        .iter()
+        .map(|upstream| match preferred {
+            Some(preferred) if preferred.key == upstream.key => (*upstream, 0),
+            _ => (*upstream, uncached_shared_tokens(upstream, shared, tracker)),
         })
+        .collect();
+    let limit = query.sample.map_or(f64::INFINITY, |size| {
+        sample_limit(&candidates, query.draw, size)
+    });
+    let is_considered = |upstream: &Upstream, uncached_shared: u64| {
+        uncached_shared < shared_tokens || sample_rank(upstream, query.draw) <= limit
+    };
+    let estimate = |upstream: &'a Upstream, uncached_shared: u64| {
+        model.estimate(upstream, uncached_shared, query, tracker, now)
+    };
+    let best = uncached
+        .iter()
+        .filter(|(upstream, uncached_shared)| is_considered(upstream, *uncached_shared))
+        .map(|(upstream, uncached_shared)| estimate(upstream, *uncached_shared))
+        .min_by(|a, b| a.cost.total_cmp(&b.cost));
+    if best
+        .as_ref()
+        .is_some_and(|choice| choice.excess_wait(query.target_latency).is_none())
+    {
+        return best;
+    }
+    // The request is refused only if no upstream at all can begin it in time.
+    uncached
+        .iter()
+        .map(|(upstream, uncached_shared)| estimate(upstream, *uncached_shared))
         .min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
@@ -263,9 +290,32 @@
 /// Returns a small cost that depends on upstream and request.
 fn tie_break(id: &str, draw: u64) -> f64 {
     const MAX_TIE_BREAK_COST: f64 = 0.001;
+    uniform(id, draw) * MAX_TIE_BREAK_COST
+}
+
+/// Returns the rank up to which upstreams belong to a random sample of `size`.
+fn sample_limit(candidates: &[&Upstream], draw: u64, size: usize) -> f64 {
+    let mut ranks: Vec<f64> = candidates
+        .iter()
+        .map(|upstream| sample_rank(upstream, draw))
+        .collect();
+    if ranks.len() <= size || size == 0 {
+        return f64::INFINITY;
+    }
+    let (_, limit, _) = ranks.select_nth_unstable_by(size - 1, f64::total_cmp);
+    *limit
+}
+
+/// Returns the position of an upstream in the random order of a request, from 0 to 1.
+fn sample_rank(upstream: &Upstream, draw: u64) -> f64 {
+    uniform(&upstream.key.id, !draw)
+}
+
+/// Returns a number from 0 to 1 that depends on upstream and request.
+fn uniform(id: &str, draw: u64) -> f64 {
     let mut hasher = FastHasher::default();
     id.hash(&mut hasher);
-    (mix(hasher.finish() ^ draw) >> 40) as f64 / f64::from(1_u32 << 24) * MAX_TIE_BREAK_COST
+    (mix(hasher.finish() ^ draw) >> 40) as f64 / f64::from(1_u32 << 24)
 }
 
 fn mix(hash: u64) -> u64 {
--- a/crates/dispatch/tests/choose.rs
+++ b/crates/dispatch/tests/choose.rs
@@ -61,6 +61,7 @@
         domain: "even",
         engine: Some(&ENGINE),
         draw,
+        sample: None,
     }
 }
 
@@ -248,3 +249,97 @@
         choose(upstreams.iter(), &large, &tracker, &model, now).expect("a candidate is available");
     assert!(choice.excess_wait(large.target_latency).is_some());
 }
+
+/// Sends the requests of many entries that all know the loads of one interval ago, and
+/// returns the most requests that any of `count` engines gets in an interval, as a
+/// multiple of the mean. A request runs for five intervals.
+fn busiest_engine(count: usize, sample: Option<usize>) -> f64 {
+    let all = upstreams(count);
+    let model = CostModel::default();
+    let now = Instant::now();
+    let mut tracker = LoadTracker::default();
+    let mut intervals: Vec<Vec<Load>> = Vec::new();
+    let mut most = 0;
+    for interval in 0..30_u64 {
+        let requests = 5 * count as u64;
+        let mut sent = vec![Load::default(); count];
+        for request in 0..requests {
+            let prompt = prompt("any document");
+            let draw = (interval * requests + request).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let query = Query {
+                sample,
+                ..query(&prompt[2..], 1, draw)
+            };
+            let chosen = choose(all.iter(), &query, &tracker, &model, now)
+                .expect("a candidate is available");
+            let index = all
+                .iter()
+                .position(|upstream| upstream.key == chosen.upstream.key)
+                .expect("the chosen upstream is a candidate");
+            sent[index].requests += 1;
+            sent[index].kv_tokens += 12_500;
+            sent[index].prefill_tokens[1] += 6600;
+        }
+        most = most.max(sent.iter().map(|load| load.requests).max().unwrap_or(0));
+        intervals.push(sent);
+        let reports = all.iter().enumerate().map(|(index, upstream)| LoadReport {
+            upstream: upstream.key.clone(),
+            load: running_load(&intervals, index),
+        });
+        tracker.update_source(Source::Fleet, reports.collect(), now);
+    }
+    f64::from(most) / 5.0
+}
+
+/// Returns the load of the requests that were sent to an engine in the last five
+/// intervals; only the prompts of the last one have yet to be prefilled.
+fn running_load(intervals: &[Vec<Load>], index: usize) -> Load {
+    let mut load = Load::default();
+    for sent in intervals.iter().rev().take(5) {
+        load.requests += sent[index].requests;
+        load.kv_tokens += sent[index].kv_tokens;
+    }
+    load.prefill_tokens = intervals[intervals.len() - 1][index].prefill_tokens;
+    load
+}
+
+/// Guards against many entries choosing the same engine until the next report of load.
+/// A random choice needs no reports, so it shows what can't be avoided.
+#[test]
+fn late_reports_of_load_do_not_gather_requests_at_one_engine() {
+    for count in [60, 240] {
+        let random = busiest_engine(count, Some(1));
+        let sampled = busiest_engine(count, Some(3));
+        assert!(
+            sampled < 1.5 * random,
+            "the busiest of {count} got {sampled} times the mean, at random {random} times"
+        );
+    }
+}
+
+/// A request is refused only if no engine could begin it in time, sampled or not.
+#[test]
+fn idle_engine_outside_of_the_sample_is_found() {
+    let upstreams = upstreams(60);
+    let now = Instant::now();
+    let mut tracker = LoadTracker::default();
+    for upstream in &upstreams[1..] {
+        tracker.add_load(&upstream.key, &Load::of_request(500_000, 12_500, 1));
+    }
+    let prompt = prompt("manor chest");
+    for draw in 0..50 {
+        let query = Query {
+            sample: Some(3),
+            ..query(&prompt, 1, draw)
+        };
+        let choice = choose(
+            upstreams.iter(),
+            &query,
+            &tracker,
+            &CostModel::default(),
+            now,
+        );
+        let chosen = choice.expect("a candidate is available").upstream;
+        assert_eq!(chosen.key, upstreams[0].key);
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,6 +12,7 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_dispatch::Query;
 use lycheehaven_dispatch::choose;
+use lycheehaven_fleet::Role;
 use lycheehaven_net::Body;
 use lycheehaven_net::read_body;
 use lycheehaven_types::ErrorKind;
@@ -36,6 +37,10 @@
 /// the route's target latency.
 const TIMEOUT_FACTOR: u32 = 4;
 
+/// Upstreams considered for a request beside those that have its prompt cached, where
+/// reports of load arrive late.
+const SAMPLED_UPSTREAMS: usize = 3;
+
 /// Smallest value of the `Retry-After` header, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -179,6 +184,7 @@
         domain: &node.settings.domain,
         engine: service.and_then(|service| service.engine.as_ref()),
         draw: rand::random(),
+        sample: (node.role.get() != Role::Mesh).then_some(SAMPLED_UPSTREAMS),
     };
     let mut pool = node.pool.borrow_mut();
     let available = candidates
