Double the pause before a retry at the store while peers inform an entry

Cause: an entry whose call to the store failed listed the kind again every 150 ms with a current read.

Change: an entry that relies on peers doubles the pause up to 2.4 s and goes on with the stale watch; if its peers fall silent it retries at once.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -69,6 +69,9 @@
 /// Pause after a failed call, in milliseconds.
 const RETRY_DELAY_MS: u64 = 150;
 
+/// Largest number of times that this pause is doubled.
+const MAX_RETRY_DOUBLINGS: u32 = 4;
+
 /// Time after the store's recovery within which upstreams renew registrations
 /// that lapsed during the outage.
 const RECOVERY_HOLD: Duration = Duration::from_millis(2300);
@@ -138,15 +141,31 @@
             }
             Err(cause) => {
                 outage.record_failure(&node, topic, &cause);
-                // List again: a list returns at once, a watch only after its
-                // long-poll time.
-                revision = None;
-                sleep_ms(RETRY_DELAY_MS).await;
+                if consistency == ReadConsistency::Current {
+                    // List again: a list returns at once, a watch only after its
+                    // long-poll time.
+                    revision = None;
+                }
+                wait_before_retry(&node, topic, outage.failures).await;
             }
         }
     }
 }
 
+/// Waits after a failed call. While peers inform this entry, the delay doubles with
+/// each failure, as many entries that fail at once would cause many billed calls.
+async fn wait_before_retry(node: &Rc<Node>, topic: Topic, failures: u32) {
+    if required_consistency(node, topic) == ReadConsistency::Current {
+        sleep_ms(RETRY_DELAY_MS).await;
+        return;
+    }
+    let doublings = failures.min(MAX_RETRY_DOUBLINGS);
+    select! {
+        () = sleep_ms(RETRY_DELAY_MS << doublings).fuse() => {}
+        () = until_current_required(node, topic).fuse() => {}
+    }
+}
+
 /// Returns the delay before the next watch after a change, in milliseconds.
 fn batch_delay_ms(node: &Node, consistency: ReadConsistency) -> u64 {
     let drain_ms = node.settings.bounds.drain_ms;
@@ -163,11 +182,14 @@
 #[derive(Debug, Default)]
 struct Outage {
     since: Option<Instant>,
+    /// Calls that failed since the last one that succeeded.
+    failures: u32,
 }
 
 impl Outage {
     /// Records a failed call.
     fn record_failure(&mut self, node: &Node, topic: Topic, cause: &StoreError) {
+        self.failures += 1;
         if topic == Topic::Servers {
             let until = node.now() + OUTAGE_HOLD;
             node.directory.borrow_mut().defer_removals(until);
@@ -185,6 +207,7 @@
 
     /// Records a successful call.
     fn record_success(&mut self, node: &Node, topic: Topic) {
+        self.failures = 0;
         let Some(since) = self.since.take() else {
             return;
         };
