--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod fleet_sums;
 mod member;
+mod parts;
 mod reported_sums;
 mod roster;
 mod source;
@@ -30,9 +31,9 @@
 pub use fleet_sums::FleetSums;
 pub use member::Capacity;
 pub use member::Member;
+pub use parts::Parts;
 pub use roster::AGGREGATOR_TIMEOUT;
 pub use roster::MESH_LIMIT;
-pub use roster::Parts;
 pub use roster::Role;
 pub use roster::Roster;
 pub use source::Source;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -10,6 +10,9 @@
 use lycheehaven_types::Name;
 
 use crate::Member;
+use crate::Parts;
+use crate::parts::MESH_LAG;
+use crate::parts::TREE_LAG;
 
 /// Usual size of the largest fleet whose entries send their reports to one another
 /// directly.
@@ -24,12 +27,6 @@
 /// Time without a message after which an entry no longer counts as reachable.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time until a report reaches every entry, where reports are sent directly.
-const MESH_LAG: Duration = Duration::from_millis(200);
-
-/// Time until a report reaches every entry through aggregators.
-const TREE_LAG: Duration = Duration::from_millis(600);
-
 /// What this entry does in the exchange of counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -54,35 +51,6 @@
     expected: Option<Instant>,
 }
 
-/// The parts of the fleet whose reports together cover the other entries.
-#[derive(Debug)]
-pub struct Parts {
-    /// Entries that report directly, without this one.
-    pub entries: Vec<Name>,
-    /// Other failure domains, each with its number of entries.
-    pub domains: Vec<(Name, usize)>,
-    /// Time within which a report reaches every other entry.
-    pub lag: Duration,
-}
-
-impl Default for Parts {
-    fn default() -> Self {
-        Self {
-            entries: Vec::new(),
-            domains: Vec::new(),
-            lag: MESH_LAG,
-        }
-    }
-}
-
-impl Parts {
-    /// Returns the number of entries of the fleet, with this one.
-    pub fn entry_count(&self) -> usize {
-        let others: usize = self.domains.iter().map(|(_, count)| count).sum();
-        1 + self.entries.len() + others
-    }
-}
-
 impl MemberState {
     fn new(member: Member) -> Self {
         Self {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -218,9 +218,12 @@
 }
 
 /// Closes connections to upstreams that accept no requests, and removes their
-/// load.
+/// load, and the last reports of entries that are no longer registered.
 fn sweep_closed(node: &Node, cache_age: Duration) {
     let now = node.now();
+    let roster = node.roster.borrow();
+    let mut last_reports = node.last_reports.borrow_mut();
+    last_reports.retain(|entry, _| roster.domain_of(entry).is_some());
     let directory = node.directory.borrow();
     let mut pool = node.pool.borrow_mut();
     pool.sweep(|key| directory.is_ready(key), now);
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod crash_tracker;
 mod quota;
+mod snapshot;
 mod spending;
 mod throttle;
 
@@ -15,9 +16,9 @@
 pub use budget::RetryBudgetConfig;
 pub use crash_tracker::CrashTracker;
 pub use quota::Charge;
-pub use quota::IncarnationSpending;
 pub use quota::Quota;
 pub use quota::QuotaExceeded;
 pub use quota::QuotaTracker;
-pub use quota::SNAPSHOT_CHECK_INTERVAL;
+pub use snapshot::IncarnationSpending;
+pub use snapshot::SNAPSHOT_CHECK_INTERVAL;
 pub use spending::SpendingSum;
--- a/crates/guard/src/quota.rs
+++ b/crates/guard/src/quota.rs
@@ -7,9 +7,14 @@
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use lycheehaven_types::SlidingSum;
-use serde::Deserialize;
-use serde::Serialize;
 
+use crate::snapshot::IncarnationSpending;
+use crate::snapshot::PROJECTED_NAME;
+use crate::snapshot::SNAPSHOT_RISE_FRACTION;
+use crate::snapshot::SnapshotTotals;
+use crate::snapshot::TOTAL_NAME;
+use crate::snapshot::is_fleet_wide;
+use crate::snapshot::projected_rise;
 use crate::spending::RemoteSpending;
 use crate::spending::SpendingSum;
 use crate::spending::add_all;
@@ -35,24 +40,6 @@
     pub retry_after: Duration,
 }
 
-/// Units that one incarnation of an entry spent in a window.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct IncarnationSpending {
-    /// Name of the entry.
-    pub entry: Name,
-    /// Incarnation of its process.
-    pub incarnation: u64,
-    /// Units spent, by workspace.
-    pub spent: Vec<(Name, f64)>,
-}
-
-/// Totals at the time of the last snapshot.
-#[derive(Debug)]
-struct SnapshotTotals {
-    at: Instant,
-    totals: HashMap<Name, f64>,
-}
-
 /// A request to spend units of a workspace's quota.
 #[derive(Debug, Clone, Copy)]
 pub struct Charge<'a> {
@@ -74,20 +61,6 @@
 /// when all entries restart at once.
 const USABLE_EXCESS_FRACTION: f64 = 0.35;
 
-/// Increase of a workspace's spending since the last snapshot, as a fraction of
-/// its quota, at which the next snapshot is due.
-const SNAPSHOT_RISE_FRACTION: f64 = 0.04;
-
-/// Interval between checks of whether a snapshot is due.
-pub const SNAPSHOT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Entry name under which a snapshot holds the spending projected until the next
-/// snapshot.
-const PROJECTED_NAME: &str = "expected";
-
-/// Entry name under which a snapshot holds the total spending of all entries.
-const TOTAL_NAME: &str = "recorded";
-
 impl Quota {
     /// Creates a quota of `units` per window that all entries together may exceed
     /// by at most `excess` units.
@@ -368,33 +341,3 @@
         names
     }
 }
-
-/// Whether an entry name stands for spending of the whole fleet in a snapshot.
-fn is_fleet_wide(entry: &Name) -> bool {
-    **entry == *TOTAL_NAME || **entry == *PROJECTED_NAME
-}
-
-/// Returns the spending projected until the next snapshot, by workspace. An
-/// increase may have begun just before this check, so it is assumed to have lasted
-/// for at most one check interval.
-fn projected_rise(
-    last: &SnapshotTotals,
-    totals: &HashMap<Name, f64>,
-    lag: Duration,
-    now: Instant,
-) -> Vec<(Name, f64)> {
-    let elapsed = now
-        .saturating_duration_since(last.at)
-        .clamp(SNAPSHOT_CHECK_INTERVAL / 2, SNAPSHOT_CHECK_INTERVAL);
-    // The age that the spending in a snapshot reaches before the next one is taken.
-    let max_age = SNAPSHOT_CHECK_INTERVAL + lag;
-    let intervals = max_age.as_secs_f64() / elapsed.as_secs_f64();
-    totals
-        .iter()
-        .map(|(workspace, total)| {
-            let before = last.totals.get(workspace).copied().unwrap_or(0.0);
-            (workspace.clone(), (total - before) * intervals)
-        })
-        .filter(|(_, units)| *units > 0.0)
-        .collect()
-}
