--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -113,18 +113,10 @@
 
     /// Returns the latest counts of all entries together.
     pub fn snapshot_total(&self) -> IncarnationCounts {
-        let parts = sum(self.peers.values().chain(self.domains.values()));
-        let mut total = parts;
-        for (window, counts) in &self.digest {
-            raise(total.entry(*window).or_default(), counts);
-        }
-        for (window, counts) in &self.local {
-            add(total.entry(*window).or_default(), counts);
-        }
         IncarnationCounts {
             entry: TOTAL_NAME.into(),
             incarnation: 0,
-            windows: latest_counts(&total),
+            windows: latest_counts(&self.totals()),
         }
     }
 
@@ -209,17 +201,20 @@
     /// Returns the requests that started in a window at all entries, by
     /// workspace.
     pub fn window_total(&self, window: u64) -> HashMap<Name, u64> {
-        let parts = self.peers.values().chain(self.domains.values());
-        let mut total = window_sum(parts, window);
+        self.totals().remove(&window).unwrap_or_default()
+    }
+
+    fn totals(&self) -> Windows {
+        let mut totals = sum(self.peers.values().chain(self.domains.values()));
         // Neither the parts nor the digest count a request twice, and both may lack
         // some.
-        if let Some(counts) = self.digest.get(&window) {
-            raise(&mut total, counts);
+        for (window, counts) in &self.digest {
+            raise(totals.entry(*window).or_default(), counts);
         }
-        if let Some(counts) = self.local.get(&window) {
-            add(&mut total, counts);
+        for (window, counts) in &self.local {
+            add(totals.entry(*window).or_default(), counts);
         }
-        total
+        totals
     }
 
     fn newest_window(&self) -> u64 {
@@ -249,14 +244,6 @@
     sum
 }
 
-fn window_sum<'a>(parts: impl Iterator<Item = &'a Windows>, window: u64) -> HashMap<Name, u64> {
-    let mut total = HashMap::default();
-    for counts in parts.filter_map(|windows| windows.get(&window)) {
-        add(&mut total, counts);
-    }
-    total
-}
-
 fn add(total: &mut HashMap<Name, u64>, counts: &HashMap<Name, u64>) {
     for (workspace, count) in counts {
         *total.entry(workspace.clone()).or_insert(0) += count;
