Take a refused deletion of a VM for a failure

Cause: CloudApi::delete took any status for success, and its caller dropped the error: a retired VM that the cloud did not delete went unnoticed.

Change: only a success or 404 counts; the failure is logged.

Test: crates/platform/tests/cloud.rs; statuses 429 and 503 failed it before.

--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -252,6 +252,9 @@
     let (node, name) = (node.clone(), name.clone());
     spawn_detached(async move {
         compio::time::sleep(RETIRE_NOTICE).await;
-        let _ = node.cloud.delete(&name).await;
+        if let Err(cause) = node.cloud.delete(&name).await {
+            let cause = cause.to_string();
+            log::warn!(target: "lycheehaven", vm = &*name, cause = cause.as_str(); "can't delete a retired VM; it stays until the platform reclaims it");
+        }
     });
 }
--- a/crates/platform/src/cloud.rs
+++ b/crates/platform/src/cloud.rs
@@ -176,9 +176,12 @@
         let reply = self
             .client
             .call(Method::DELETE, self.addr, &path, Bytes::new(), self.timeout)
-            .await;
-        reply
-            .map(|_| ())
-            .map_err(|cause| Unavailable(cause.to_string()))
+            .await
+            .map_err(|cause| Unavailable(cause.to_string()))?;
+        // A VM that is already gone needs no deletion.
+        if reply.is_success() || reply.status == 404 {
+            return Ok(());
+        }
+        Err(Unavailable(format!("status {}", reply.status)))
     }
 }
