Shorten the longest texts of a log line instead of cutting the line

Cause: a line above 4,096 bytes was cut in the middle, which is no valid JSON, so that a reader of the log lost all of it.

Test: a cause of 60 kB leaves a valid line with its short texts whole; it failed before.

--- a/crates/logs/src/appender.rs
+++ b/crates/logs/src/appender.rs
@@ -16,13 +16,10 @@
 use rustix::event::Timespec;
 use rustix::event::poll;
 
+use crate::encode::MAX_LINE_BYTES;
 use crate::encode::encode;
 use crate::rate::LineBudget;
 
-/// Maximum length of a line in bytes. Writes to a pipe are atomic up to this
-/// length.
-const MAX_LINE_BYTES: usize = 4096;
-
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Returns the number of lines dropped since the start of the process.
@@ -56,12 +53,9 @@
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = &mut state.budgets[level_index(record.level())];
         let written = budget.take(Instant::now()) && {
-            let mut line = encode(record, SystemTime::now(), state.unreported);
-            if line.len() > MAX_LINE_BYTES {
-                line.truncate(MAX_LINE_BYTES - 1);
-                line.push(b'\n');
-            }
-            write(&line)
+            let line = encode(record, SystemTime::now(), state.unreported);
+            // A longer line could be interleaved with others in a pipe.
+            line.len() <= MAX_LINE_BYTES && write(&line)
         };
         if written {
             state.unreported = 0;
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -10,6 +10,7 @@
 mod rate;
 
 pub use appender::dropped_lines;
+pub use encode::MAX_LINE_BYTES;
 pub use encode::encode;
 pub use rate::LINES_PER_SECOND;
 pub use rate::LineBudget;
--- a/crates/logs/tests/lines.rs
+++ b/crates/logs/tests/lines.rs
@@ -8,6 +8,7 @@
 use log::Record;
 use lycheehaven_logs::LINES_PER_SECOND;
 use lycheehaven_logs::LineBudget;
+use lycheehaven_logs::MAX_LINE_BYTES;
 use lycheehaven_logs::encode;
 use serde_json::Value;
 
@@ -34,6 +35,29 @@
     assert_eq!(value["dropped_before"], 3);
 }
 
+/// A cut in the middle of a line made it invalid JSON.
+#[test]
+fn long_line_stays_valid_and_keeps_short_texts() {
+    let cause = "ö\"".repeat(20_000);
+    let pairs = [("request", "r1"), ("cause", cause.as_str())];
+    let line = encode(
+        &Record::builder()
+            .level(Level::Warn)
+            .args(format_args!("request failed"))
+            .key_values(&pairs)
+            .build(),
+        UNIX_EPOCH,
+        0,
+    );
+    assert!(line.len() <= MAX_LINE_BYTES, "{} bytes", line.len());
+    let value: Value = serde_json::from_slice(&line).expect("a JSON line");
+    assert_eq!(value["message"], "request failed");
+    assert_eq!(value["attributes"]["request"], "r1");
+    let shortened = value["attributes"]["cause"].as_str().expect("a text");
+    assert!(shortened.ends_with("..."), "{shortened}");
+    assert!(cause.starts_with(shortened.trim_end_matches('.')));
+}
+
 #[test]
 fn lines_per_second_are_limited() {
     let start = Instant::now();
