Drain only the first entry given to lycheectl

Change: drain calls the first entry only.

Test: with an address that refuses connections first, the second entry keeps serving; it was draining before.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -55,12 +55,30 @@
         self.call(Method::POST, path, body).await
     }
 
+    /// Posts to the first entry only, for calls that concern one entry and must not
+    /// reach another if the first one does not respond.
+    pub(crate) async fn post_to_first(&self, path: &str, body: &Value) -> Result<Value, CtlError> {
+        let body = serde_json::to_vec(body).expect("JSON serializes");
+        let first = &self.entries[..self.entries.len().min(1)];
+        self.call_any(first, Method::POST, path, body).await
+    }
+
     /// Calls the entries in turn until one responds with a status other than 503
     /// and 504. A call may be sent to several entries: reads have no effect, and
     /// entries recognize a repeated patch by its writer.
     async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Value, CtlError> {
+        self.call_any(&self.entries, method, path, body).await
+    }
+
+    async fn call_any(
+        &self,
+        entries: &[SocketAddr],
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Value, CtlError> {
         let mut last = CtlError::usage("no entry address given");
-        for addr in &self.entries {
+        for addr in entries {
             let reply = self
                 .http
                 .call(method.clone(), *addr, path, body.clone(), TIMEOUT)
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -24,7 +24,7 @@
   config history                  list the accepted patches
   status                          show the entry and its peers
   vms                             list VMs and their load
-  drain                           stop the entry after its open requests
+  drain                           stop the first entry after its open requests
   explain REQUEST                 show the decisions about a request
   load FILE                       run a load scenario against the entries
   verify FILE                     check that a recorded history meets the guarantees
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -38,7 +38,8 @@
 }
 
 pub(crate) async fn drain(context: &Context) -> Result<ExitCode, CtlError> {
-    let answer = context.client.post("/admin/drain", &json!({})).await?;
+    let client = &context.client;
+    let answer = client.post_to_first("/admin/drain", &json!({})).await?;
     if context.json {
         output::json(&answer);
     } else {
--- a/tests/all/tools.rs
+++ b/tests/all/tools.rs
@@ -1,5 +1,6 @@
 //! The operator command line, `lycheectl`.
 
+use std::net::TcpListener;
 use std::process::Command;
 use std::process::Output;
 
@@ -27,6 +28,27 @@
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
 
+/// An entry that does not respond made `drain` go on to the next one and stop it as
+/// well.
+#[test]
+fn drain_reaches_no_other_entry() {
+    run(async {
+        let cluster = small_cluster().await;
+        let unresponsive = TcpListener::bind("127.0.0.1:0").unwrap();
+        let first = unresponsive.local_addr().unwrap();
+        drop(unresponsive);
+        let second = cluster.entries[0].listen;
+        let output = Command::new(env!("CARGO_BIN_EXE_lycheectl"))
+            .args(["--entry", &first.to_string()])
+            .args(["--entry", &second.to_string()])
+            .args(["--key", OPERATOR_KEY, "drain"])
+            .output()
+            .expect("lycheectl can be started");
+        assert!(!output.status.success(), "{output:?}");
+        assert_eq!(cluster.status(0).await["draining"], false);
+    });
+}
+
 #[test]
 fn load_run_reports_results_and_history_verifies() {
     run(async {
