Keep a leaving incarnation as such while it is registered

Cause: Directory::replace dropped what it knew of leaving incarnations after two minutes, also of those still registered, so one that takes longer to leave got requests again after the next full list.

Change: the record of a registered incarnation is kept.

Test: ten minutes of lists, registered as draining or by a stale list as ready; it failed after two minutes before.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -84,7 +84,7 @@
 }
 
 impl Directory {
-    /// Retention of leaving and removed incarnations.
+    /// Retention of leaving and removed incarnations that are not registered.
     const RETENTION: Duration = Duration::from_secs(120);
 
     /// Time for which a leaving or removed incarnation is reported to peers. An
@@ -121,8 +121,13 @@
         for upstream in list {
             self.update(upstream, now);
         }
-        self.leaving
-            .retain(|_, leaving| now.saturating_duration_since(leaving.seen_at) < Self::RETENTION);
+        let upstreams = &self.upstreams;
+        self.leaving.retain(|key, leaving| {
+            let is_registered = upstreams
+                .get(&key.id)
+                .is_some_and(|upstream| upstream.key == *key);
+            is_registered || now.saturating_duration_since(leaving.seen_at) < Self::RETENTION
+        });
         self.removed
             .retain(|_, removed| now.saturating_duration_since(removed.seen_at) < Self::RETENTION);
     }
--- a/crates/catalog/tests/all.rs
+++ b/crates/catalog/tests/all.rs
@@ -205,6 +205,23 @@
     );
 }
 
+/// An engine may take minutes to leave. A list of all registrations made one that had
+/// left for two minutes ready again.
+#[test]
+fn registered_incarnation_stays_leaving_however_long_it_takes() {
+    let start = Instant::now();
+    for state in [UpstreamState::Draining(None), UpstreamState::Ready] {
+        let mut directory = Directory::default();
+        directory.update(upstream("a", 1, UpstreamState::Ready), start);
+        directory.mark_leaving(&upstream("a", 1, UpstreamState::Ready).key, start);
+        for minute in 1..10 {
+            let now = start + Duration::from_secs(60) * minute;
+            directory.replace(vec![upstream("a", 1, state)], 1, now);
+            assert_eq!(ready(&directory), 0, "{state:?} after {minute} minutes");
+        }
+    }
+}
+
 #[test]
 fn leaving_reported_by_a_peer_counts() {
     let now = Instant::now();
