Let no connection keep the event loop, and bound what it may send

Cause: hyper reads on while bytes are available and it needs more. Within a chunk size of endless zeros that never ends, so no timer fired: one upstream or one caller stopped an entry. An event without end was passed on in pieces until the deadline, and a reply of the store was read without a limit.

Change: FairStream yields after 64 KiB and ends a response after 16 MiB; an event above 256 KiB breaks the stream off; a reply of the store or a peer is cut at 16 MiB.

--- a/crates/channels/src/connection.rs
+++ b/crates/channels/src/connection.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::SendRequest;
 use lycheehaven_net::Body;
 use lycheehaven_net::CountGuard;
+use lycheehaven_net::FairStream;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 
@@ -74,7 +75,8 @@
         };
         set_socket_options(&stream)
             .map_err(|cause| format!("can't set socket options: {cause}"))?;
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        let stream = FairStream::for_client(HyperStream::new_plain(stream));
+        let (sender, connection) = http1::handshake(stream)
             .await
             .map_err(|cause| cause.to_string())?;
         let driver = compio::runtime::spawn(async move {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -159,6 +159,10 @@
                 Input::End => self.handle_end().await?,
                 Input::Broken(cause) => self.recover(cause).await?,
             }
+            if self.splitter.is_oversized() {
+                self.recover("the upstream sent an event that is too large".into())
+                    .await?;
+            }
         }
         Ok(())
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,12 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::body::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Largest body of a response. The platform's objects and pages are about 1 MB.
+const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why a call returned no response. The request may have taken effect.
 #[derive(Debug)]
 pub enum CallError {
@@ -114,7 +118,7 @@
         let reply = self.send(method, addr, path, headers, body.into());
         match compio::time::timeout(timeout, reply).await {
             Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(cause)) => Err(CallError::Transport(cause.to_string())),
+            Ok(Err(cause)) => Err(CallError::Transport(cause)),
             Err(_) => Err(CallError::Timeout),
         }
     }
@@ -167,20 +171,22 @@
         path: &str,
         headers: &[(&str, String)],
         body: Bytes,
-    ) -> cyper::Result<Reply> {
+    ) -> Result<Reply, String> {
+        let text = |cause: cyper::Error| cause.to_string();
         let mut request = self
             .client
-            .request(method, format!("http://{addr}{path}"))?;
+            .request(method, format!("http://{addr}{path}"))
+            .map_err(text)?;
         for (name, value) in &self.headers {
-            request = request.header(*name, value.as_str())?;
+            request = request.header(*name, value.as_str()).map_err(text)?;
         }
         for (name, value) in headers {
-            request = request.header(*name, value.as_str())?;
+            request = request.header(*name, value.as_str()).map_err(text)?;
         }
-        let response = request.body(body).send().await?;
+        let response = request.body(body).send().await.map_err(text)?;
         let status = response.status().as_u16();
         let headers = response.headers().clone();
-        let body = response.bytes().await?;
+        let body = read_reply(response).await?;
         Ok(Reply {
             status,
             headers,
@@ -189,6 +195,22 @@
     }
 }
 
+/// Reads the body of a response of at most [`MAX_REPLY_BYTES`].
+async fn read_reply(response: cyper::Response) -> Result<Bytes, String> {
+    let mut chunks = response.bytes_stream();
+    let mut body = Vec::new();
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|cause| cause.to_string())?;
+        if body.len() + chunk.len() > MAX_REPLY_BYTES {
+            return Err(format!(
+                "the response is larger than {MAX_REPLY_BYTES} bytes"
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.into())
+}
+
 impl Default for HttpClient {
     fn default() -> Self {
         Self::new()
--- /dev/null
+++ b/crates/net/src/fair_stream.rs
@@ -0,0 +1,108 @@
+//! A connection that cannot keep the event loop busy on its own.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper::rt::Read;
+use hyper::rt::ReadBuf;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+
+/// Bytes that are read at once.
+const READ_BYTES: usize = 8192;
+
+/// Bytes after which a connection lets other tasks run.
+const YIELD_BYTES: usize = 64 * 1024;
+
+/// Largest response to a client, with its head and framing.
+pub(crate) const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
+
+/// A byte stream for `hyper` that yields to the event loop while bytes keep arriving.
+///
+/// `hyper` reads on as long as bytes are available and it needs more, for example
+/// within a chunk size of endless zeros. Without a pause no timer would fire, and
+/// neither this request nor any other would end.
+#[derive(Debug)]
+pub struct FairStream<S> {
+    inner: S,
+    /// Bytes read since the stream was last pending.
+    unyielded: usize,
+    /// Bytes that may still be read until the next write.
+    left: u64,
+    limit: u64,
+}
+
+impl<S> FairStream<S> {
+    /// Wraps a client's connection. After each write, at most
+    /// 16 MiB are read.
+    pub fn for_client(inner: S) -> Self {
+        Self::new(inner, MAX_RESPONSE_BYTES)
+    }
+
+    /// Wraps a server's connection.
+    pub fn for_server(inner: S) -> Self {
+        Self::new(inner, u64::MAX)
+    }
+
+    fn new(inner: S, limit: u64) -> Self {
+        Self {
+            inner,
+            unyielded: 0,
+            left: limit,
+            limit,
+        }
+    }
+}
+
+impl<S: Read + Unpin> Read for FairStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.unyielded >= YIELD_BYTES {
+            self.unyielded = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        if self.left == 0 {
+            let message = format!("more than {} bytes after a request", self.limit);
+            return Poll::Ready(Err(io::Error::other(message)));
+        }
+        let mut bytes = [0; READ_BYTES];
+        let size = READ_BYTES.min(buf.remaining());
+        let mut read = ReadBuf::new(&mut bytes[..size]);
+        let polled = Pin::new(&mut self.inner).poll_read(cx, read.unfilled());
+        let filled = read.filled();
+        match polled {
+            Poll::Pending => self.unyielded = 0,
+            Poll::Ready(_) => {
+                self.unyielded += filled.len();
+                self.left = self.left.saturating_sub(filled.len() as u64);
+            }
+        }
+        buf.put_slice(filled);
+        polled
+    }
+}
+
+impl<S: Write + Unpin> Write for FairStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.left = self.limit;
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod client;
+mod fair_stream;
 mod server;
 mod sse_parser;
 mod sse_splitter;
@@ -21,6 +22,7 @@
 pub use client::CallError;
 pub use client::HttpClient;
 pub use client::Reply;
+pub use fair_stream::FairStream;
 pub use server::Handler;
 pub use server::ServerLimits;
 pub use server::serve;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -20,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Body;
+use crate::FairStream;
 use crate::tasks::CountGuard;
 
 /// Size of the kernel's send buffer for a connection.
@@ -110,11 +111,12 @@
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
+    let stream = FairStream::for_server(HyperStream::new_plain(stream));
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(8192))
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let finished = select! {
         _ = connection.as_mut().fuse() => true,
--- a/crates/net/src/sse_splitter.rs
+++ b/crates/net/src/sse_splitter.rs
@@ -4,8 +4,7 @@
 
 use hyper::body::Bytes;
 
-/// Largest incomplete event that is buffered; a larger one is passed on in
-/// pieces.
+/// Largest event.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// One event with its bytes as received.
@@ -38,15 +37,14 @@
                 bytes: event.into(),
             });
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            events.push_back(SseEvent {
-                bytes: self.take_rest(),
-                id: None,
-            });
-        }
         events
     }
 
+    /// Returns whether the incomplete event is larger than an event may be.
+    pub fn is_oversized(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Takes the buffered bytes of an incomplete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.scanned = 0;
--- a/crates/net/src/unpooled.rs
+++ b/crates/net/src/unpooled.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1;
 
 use crate::Body;
+use crate::FairStream;
 
 /// Why [`send_unpooled`] returned no response.
 #[derive(Debug)]
@@ -51,7 +52,8 @@
         Err(_) => return Err(RequestError::NotSent("connection attempt timed out".into())),
     };
     let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+    let stream = FairStream::for_client(HyperStream::new_plain(stream));
+    let (mut sender, connection) = http1::handshake(stream)
         .await
         .map_err(|cause| RequestError::NotSent(cause.to_string()))?;
     // The task ends once the sender and the response body are dropped.
