Keep entries that nobody has heard yet registered

Cause: an aggregator that had never heard an entry reported the longest duration, which u64 milliseconds turned into a time far in the past instead of none. When 295 entries started at once, the holder of the lease removed 245 of their registrations, and they registered again.

Change: a silent entry that was never heard has no duration.

Test: it expired at once before.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -199,14 +199,14 @@
 
     /// Records what an aggregator reports about the other entries of `domain`, or
     /// of the whole fleet: all run except those in `silent`, which have been silent
-    /// for the stated time.
+    /// for the stated time, or were never heard by the aggregator.
     pub fn record_silent(
         &mut self,
         domain: Option<&Name>,
-        silent: &[(Name, Duration)],
+        silent: &[(Name, Option<Duration>)],
         now: Instant,
     ) {
-        let silent: HashMap<&Name, Duration> = silent
+        let silent: HashMap<&Name, Option<Duration>> = silent
             .iter()
             .map(|(name, duration)| (name, *duration))
             .collect();
@@ -216,16 +216,16 @@
             }
             let alive = match silent.get(name) {
                 None => Some(now),
-                Some(duration) => now.checked_sub(*duration),
+                Some(duration) => duration.and_then(|duration| now.checked_sub(duration)),
             };
             state.alive = state.alive.max(alive);
         }
     }
 
     /// Returns the other entries of `domain`, or of the whole fleet, that are not
-    /// known to run, with the time for which they have been silent, [`Duration::MAX`]
-    /// if they were never heard.
-    pub fn silent(&self, domain: Option<&Name>, now: Instant) -> Vec<(Name, Duration)> {
+    /// known to run, with the time for which they have been silent, or `None` if they
+    /// were never heard.
+    pub fn silent(&self, domain: Option<&Name>, now: Instant) -> Vec<(Name, Option<Duration>)> {
         self.states
             .iter()
             .filter(|(name, state)| {
@@ -235,8 +235,9 @@
             .filter_map(|(name, state)| {
                 let silent = state
                     .alive
-                    .map_or(Duration::MAX, |alive| now.saturating_duration_since(alive));
-                (silent >= HEARTBEAT_TIMEOUT).then(|| (name.clone(), silent))
+                    .map(|alive| now.saturating_duration_since(alive));
+                let is_silent = silent.is_none_or(|silent| silent >= HEARTBEAT_TIMEOUT);
+                is_silent.then(|| (name.clone(), silent))
             })
             .collect()
     }
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -161,7 +161,7 @@
     assert!(roster.expired(millis(15_000), start).is_empty());
     for step in 1..=80_u64 {
         let now = start + millis(200 * step);
-        let silent = [("b-03".into(), millis(200 * step))];
+        let silent = [("b-03".into(), Some(millis(200 * step)))];
         roster.record_silent(Some(&domain), &silent, now);
         for index in 0..20 {
             roster.record_heartbeat(&format!("a-{index:02}").into(), now);
@@ -179,7 +179,22 @@
     let start = Instant::now();
     let mut roster = roster("a-00", members());
     roster.record_silent(None, &[], start);
-    let silent = [("b-03".into(), Duration::MAX)];
+    let silent = [("b-03".into(), None)];
     roster.record_silent(None, &silent, start + millis(200));
     assert_eq!(roster.reachable_count(start + millis(200)), 39);
 }
+
+/// When all entries start at once, nobody has heard anybody. The registrations of 245
+/// of 295 entries were removed then.
+#[test]
+fn entry_that_nobody_has_heard_does_not_expire_at_once() {
+    let start = Instant::now();
+    let mut roster = roster("a-16", members());
+    let silent = roster.silent(None, start);
+    assert_eq!(silent.len(), 39);
+    roster.record_silent(None, &silent, start);
+    let expiry = millis(15_000);
+    assert!(roster.expired(expiry, start).is_empty());
+    assert!(roster.expired(expiry, start + millis(14_000)).is_empty());
+    assert_eq!(roster.expired(expiry, start + expiry).len(), 39);
+}
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -33,7 +33,7 @@
     match scope {
         Scope::Entry => apply_entry(node, &status, counts, now),
         Scope::Domain { domain, silent } => {
-            let silent = decode_silent(&silent);
+            let silent = decode_silent(silent);
             node.roster
                 .borrow_mut()
                 .record_silent(Some(&domain), &silent, now);
@@ -45,7 +45,7 @@
         } => {
             // An aggregator knows from first hand which entries are silent.
             if node.role.get() == Role::Member {
-                let silent = decode_silent(&silent);
+                let silent = decode_silent(silent);
                 node.roster.borrow_mut().record_silent(None, &silent, now);
             }
             apply_digest(node, &status, confirmation, counts, now);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -32,18 +32,20 @@
     /// All entries of the sender's failure domain.
     Domain {
         domain: Name,
-        /// Entries of the domain that are silent, and for how many milliseconds.
-        silent: Vec<(Name, u64)>,
+        silent: Vec<SilentEntry>,
     },
     /// All entries except the receiver.
     Fleet {
-        /// Entries of the fleet that are silent, and for how many milliseconds.
-        silent: Vec<(Name, u64)>,
+        silent: Vec<SilentEntry>,
         /// Confirms the configuration, in reply to the receiver's last report.
         confirmation: Option<Confirmation>,
     },
 }
 
+/// An entry that is silent, and for how many milliseconds, or `None` if the sender has
+/// never heard it.
+pub(crate) type SilentEntry = (Name, Option<u64>);
+
 /// What the sender states about itself, and the news that it passes on.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Status {
@@ -102,21 +104,18 @@
     }
 }
 
-/// Encodes durations in milliseconds, [`Duration::MAX`] as the largest number.
-pub(crate) fn encode_silent(silent: Vec<(Name, Duration)>) -> Vec<(Name, u64)> {
+/// Encodes the silent entries of a roster.
+pub(crate) fn encode_silent(silent: Vec<(Name, Option<Duration>)>) -> Vec<SilentEntry> {
     silent
         .into_iter()
-        .map(|(name, duration)| {
-            let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
-            (name, millis)
-        })
+        .map(|(name, duration)| (name, duration.map(|duration| duration.as_millis() as u64)))
         .collect()
 }
 
 /// Decodes what [`encode_silent`] encoded.
-pub(crate) fn decode_silent(silent: &[(Name, u64)]) -> Vec<(Name, Duration)> {
+pub(crate) fn decode_silent(silent: Vec<SilentEntry>) -> Vec<(Name, Option<Duration>)> {
     silent
-        .iter()
-        .map(|(name, millis)| (name.clone(), Duration::from_millis(*millis)))
+        .into_iter()
+        .map(|(name, millis)| (name, millis.map(Duration::from_millis)))
         .collect()
 }
