Wait for the role before the first watch, and retry less often without peers

Change: an entry that does not aggregate doubles its pause up to 1.2 s also while its peers do not inform it. After the first list it waits up to 1.5 s for its own registration before it watches.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -73,6 +73,13 @@
 /// Largest number of times that this pause is doubled.
 const MAX_RETRY_DOUBLINGS: u32 = 4;
 
+/// The same while peers do not inform this entry.
+const UNINFORMED_RETRY_DOUBLINGS: u32 = 3;
+
+/// Longest time after the start for which an entry waits to learn from its registration
+/// what it does in the exchange, and so how it must follow the store.
+const ROLE_WAIT: Duration = Duration::from_millis(1500);
+
 /// Follows the declared configuration.
 pub(crate) async fn follow_config(node: Rc<Node>) {
     follow(node, Topic::Config).await;
@@ -109,6 +116,9 @@
                 if topic == Topic::Config && current {
                     node.config.borrow_mut().confirm(started);
                 }
+                if revision.is_none() && topic != Topic::Members {
+                    wait_for_role(&node).await;
+                }
                 revision = next;
                 if changed && topic != Topic::Config {
                     sleep_ms(batch_delay_ms(&node, consistency)).await;
@@ -127,13 +137,26 @@
     }
 }
 
-/// Waits after a failed call. While peers inform this entry, the delay doubles with
-/// each failure, as many entries that fail at once would cause many billed calls.
+/// Waits after the first list until this entry's registration is known, so that a
+/// fleet that starts at once does not follow the store with every entry.
+async fn wait_for_role(node: &Node) {
+    while node.uptime() < ROLE_WAIT && !node.roster.borrow().is_registered(node.incarnation) {
+        sleep_ms(CHECK_INTERVAL_MS).await;
+    }
+}
+
+/// Waits after a failed call. The delay doubles with each failure, as many entries
+/// that fail at once would cause many billed calls. It is short for the entries that
+/// the others rely on, and longest while peers inform this one.
 async fn wait_before_retry(node: &Rc<Node>, topic: Topic, failures: u32) {
-    if required_consistency(node, topic) == ReadConsistency::Current {
+    if node.follows_store() {
         sleep_ms(RETRY_DELAY_MS).await;
         return;
     }
+    if required_consistency(node, topic) == ReadConsistency::Current {
+        sleep_ms(RETRY_DELAY_MS << failures.min(UNINFORMED_RETRY_DOUBLINGS)).await;
+        return;
+    }
     let doublings = failures.min(MAX_RETRY_DOUBLINGS);
     select! {
         () = sleep_ms(RETRY_DELAY_MS << doublings).fuse() => {}
