Split reports of load that do not fit a message

Cause: a digest states the load at every engine, about 40 bytes each; those of 2,300 engines exceed a datagram, and none would be sent.

Change: above 1,000 engines a message holds one part of them, in turn.

Test: 2,300 engines add up from parts of less than 1,200.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub use choose::Query;
 pub use choose::choose;
 pub use load::Load;
+pub use load::LoadPart;
 pub use load::LoadReport;
 pub use load::LoadTracker;
 pub use load::ObservedLoad;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,10 +1,13 @@
 //! Load of the upstreams, as far as this entry knows it.
 
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 use std::time::Instant;
 
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_fleet::Source;
+use lycheehaven_types::FastHasher;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use serde::Deserialize;
@@ -165,6 +168,37 @@
     }
 }
 
+/// Reports of the load at a part of the upstreams. Reports of many upstreams are split,
+/// so that each part fits a message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadPart {
+    /// Index of the part.
+    pub index: usize,
+    /// Load at the upstreams of this part.
+    pub reports: Vec<LoadReport>,
+}
+
+impl LoadPart {
+    /// Most reports of a part, about 40 bytes each.
+    const MAX_REPORTS: usize = 1000;
+
+    /// Returns one part of `reports`. Successive values of `turn` return all parts in
+    /// turn.
+    pub fn select(reports: Vec<LoadReport>, turn: u64) -> Self {
+        let count = reports.len().div_ceil(Self::MAX_REPORTS).max(1);
+        let index = turn as usize % count;
+        let is_in_part = |report: &LoadReport| {
+            let mut hasher = FastHasher::default();
+            report.upstream.hash(&mut hasher);
+            hasher.finish() as usize % count == index
+        };
+        Self {
+            index,
+            reports: reports.into_iter().filter(is_in_part).collect(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct UpstreamStats {
     local: Load,
@@ -194,7 +228,7 @@
 #[derive(Debug, Default)]
 pub struct LoadTracker {
     upstreams: HashMap<UpstreamKey, UpstreamStats>,
-    reports: HashMap<Source, (Instant, Vec<LoadReport>)>,
+    reports: HashMap<(Source, usize), (Instant, Vec<LoadReport>)>,
     cached_parts: HashMap<(UpstreamKey, Name), Instant>,
     /// Ratio of measured to expected latency, by service.
     slowdowns: HashMap<Name, f64>,
@@ -303,9 +337,11 @@
         self.sums(Some(member), |peers| vec![&peers.entries, &peers.domains])
     }
 
-    /// Replaces the load that `source` reports.
-    pub fn update_source(&mut self, source: Source, reports: Vec<LoadReport>, now: Instant) {
-        self.remove_source(&source);
+    /// Replaces the load that `source` reports for a part of the upstreams.
+    pub fn update_source(&mut self, source: Source, part: LoadPart, now: Instant) {
+        let LoadPart { index, reports } = part;
+        let key = (source.clone(), index);
+        self.remove_part(&key);
         for report in &reports {
             let stats = self.upstreams.entry(report.upstream.clone()).or_default();
             stats.peers.by(&source).add(&report.load);
@@ -315,16 +351,16 @@
                 stats.peers.average_prefill();
             }
         }
-        self.reports.insert(source, (now, reports));
+        self.reports.insert(key, (now, reports));
     }
 
-    fn remove_source(&mut self, source: &Source) {
-        let Some((_, reports)) = self.reports.remove(source) else {
+    fn remove_part(&mut self, key: &(Source, usize)) {
+        let Some((_, reports)) = self.reports.remove(key) else {
             return;
         };
         for report in &reports {
             if let Some(stats) = self.upstreams.get_mut(&report.upstream) {
-                stats.peers.by(source).subtract(&report.load);
+                stats.peers.by(&key.0).subtract(&report.load);
             }
         }
     }
@@ -394,19 +430,19 @@
 
     fn has_fleet_report(&self, now: Instant) -> bool {
         self.reports
-            .get(&Source::Fleet)
+            .get(&(Source::Fleet, 0))
             .is_some_and(|(received, _)| now.saturating_duration_since(*received) < FLEET_EXPIRY)
     }
 
     fn expire_reports(&mut self, now: Instant) {
-        let expired: Vec<Source> = self
+        let expired: Vec<(Source, usize)> = self
             .reports
             .iter()
             .filter(|(_, (received, _))| now.saturating_duration_since(*received) >= PEER_EXPIRY)
-            .map(|(source, _)| source.clone())
+            .map(|(key, _)| key.clone())
             .collect();
-        for source in expired {
-            self.remove_source(&source);
+        for key in expired {
+            self.remove_part(&key);
         }
     }
 
@@ -418,7 +454,7 @@
         parts: impl for<'a> Fn(&'a PeerLoad) -> Vec<&'a Load>,
     ) -> Vec<LoadReport> {
         let excepted: HashMap<&UpstreamKey, &Load> = except
-            .and_then(|name| self.reports.get(&Source::Entry(name.clone())))
+            .and_then(|name| self.reports.get(&(Source::Entry(name.clone()), 0)))
             .map(|(_, reports)| {
                 reports
                     .iter()
--- a/crates/dispatch/tests/choose.rs
+++ b/crates/dispatch/tests/choose.rs
@@ -10,6 +10,7 @@
 use lycheehaven_catalog::UpstreamState;
 use lycheehaven_dispatch::CostModel;
 use lycheehaven_dispatch::Load;
+use lycheehaven_dispatch::LoadPart;
 use lycheehaven_dispatch::LoadReport;
 use lycheehaven_dispatch::LoadTracker;
 use lycheehaven_dispatch::Query;
@@ -176,7 +177,8 @@
         upstream: one[0].key.clone(),
         load: Load::of_request(50_000, 50_000, 1),
     };
-    tracker.update_source(Source::Entry("peer".into()), vec![report], start);
+    let part = LoadPart::select(vec![report], 0);
+    tracker.update_source(Source::Entry("peer".into()), part, start);
     assert_eq!(tracker.load(&one[0].key, start).requests, 1);
     let later = start + Duration::from_secs(3);
     tracker.prune(|_| true, Duration::from_secs(30), later);
@@ -286,7 +288,7 @@
             upstream: upstream.key.clone(),
             load: running_load(&intervals, index),
         });
-        tracker.update_source(Source::Fleet, reports.collect(), now);
+        tracker.update_source(Source::Fleet, LoadPart::select(reports.collect(), 0), now);
     }
     f64::from(most) / 5.0
 }
@@ -343,3 +345,27 @@
         assert_eq!(chosen.key, upstreams[0].key);
     }
 }
+
+/// With the engines of the largest deployment, a message holds only a part of them.
+#[test]
+fn parts_of_many_reports_add_up_to_all_of_them() {
+    let upstreams = upstreams(2300);
+    let now = Instant::now();
+    let reports: Vec<LoadReport> = upstreams
+        .iter()
+        .map(|upstream| LoadReport {
+            upstream: upstream.key.clone(),
+            load: Load::of_request(6600, 12_500, 1),
+        })
+        .collect();
+    let mut tracker = LoadTracker::default();
+    for turn in 0..9 {
+        let part = LoadPart::select(reports.clone(), turn);
+        assert!(part.reports.len() < 1200, "{} reports", part.reports.len());
+        tracker.update_source(Source::Domain("keila".into()), part, now);
+    }
+    for upstream in &upstreams {
+        assert_eq!(tracker.load(&upstream.key, now).requests, 1);
+    }
+    assert_eq!(tracker.reports_for(&"peer".into()).len(), 2300);
+}
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_dispatch::LoadPart;
 use lycheehaven_fleet::Role;
 use lycheehaven_fleet::Source;
 use lycheehaven_types::Name;
@@ -172,7 +173,7 @@
     source: &Source,
     requested: Vec<(Name, f64)>,
     demand: Vec<(Name, f64)>,
-    loads: Option<Vec<lycheehaven_dispatch::LoadReport>>,
+    loads: Option<LoadPart>,
     now: Instant,
 ) {
     node.requested_units
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,7 +32,7 @@
         match role {
             Role::Mesh => {
                 let peers = node.roster.borrow().addresses();
-                send_report(&node, &socket, peers).await;
+                send_report(&node, &socket, peers, interval).await;
             }
             Role::Member => report_to_aggregators(&node, &socket, interval).await,
             Role::Aggregator => {
@@ -47,12 +47,12 @@
 
 async fn report_to_aggregators(node: &Node, socket: &UdpSocket, interval: u64) {
     let peers = aggregators(node, &node.settings.domain, interval);
-    send_report(node, socket, peers).await;
+    send_report(node, socket, peers, interval).await;
 }
 
-async fn send_report(node: &Node, socket: &UdpSocket, peers: Vec<SocketAddr>) {
+async fn send_report(node: &Node, socket: &UdpSocket, peers: Vec<SocketAddr>, interval: u64) {
     if !peers.is_empty() {
-        send_to_all(socket, &summary::report(node), &peers).await;
+        send_to_all(socket, &summary::report(node, interval), &peers).await;
     }
 }
 
@@ -63,7 +63,7 @@
     if domains.is_empty() {
         return;
     }
-    let message = summary::domain_sum(node);
+    let message = summary::domain_sum(node, interval);
     for domain in domains {
         let peers = aggregators(node, &domain, interval);
         send_to_all(socket, &message, &peers).await;
@@ -77,9 +77,8 @@
         let members = roster.peers_in(&node.settings.domain);
         members.map(|(name, addr)| (name.clone(), addr)).collect()
     };
-    let with_loads = interval.is_multiple_of(2);
     for (name, addr) in members {
-        let message = summary::digest(node, &name, with_loads);
+        let message = summary::digest(node, &name, interval);
         send_to_all(socket, &message, &[addr]).await;
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lycheehaven_catalog::UpstreamKey;
-use lycheehaven_dispatch::LoadReport;
+use lycheehaven_dispatch::LoadPart;
 use lycheehaven_duties::WindowCounts;
 use lycheehaven_guard::SpendingSum;
 use lycheehaven_types::Digest;
@@ -82,8 +82,8 @@
     pub(crate) requested: Vec<(Name, f64)>,
     /// Requests that upstreams started, by window and workspace.
     pub(crate) usage: Vec<WindowCounts>,
-    /// Load caused at each upstream; `None` in digests between two that state it.
-    pub(crate) loads: Option<Vec<LoadReport>>,
+    /// Load caused at upstreams; `None` in digests between two that state it.
+    pub(crate) loads: Option<LoadPart>,
     /// Engine time that callers recently requested, in milliseconds, by service.
     pub(crate) demand: Vec<(Name, f64)>,
 }
--- a/crates/gateway/src/summary.rs
+++ b/crates/gateway/src/summary.rs
@@ -2,6 +2,7 @@
 
 use std::time::UNIX_EPOCH;
 
+use lycheehaven_dispatch::LoadPart;
 use lycheehaven_guard::SpendingSum;
 use lycheehaven_types::Name;
 
@@ -13,8 +14,12 @@
 use crate::message::encode_silent;
 use crate::node::Node;
 
+/// Every how many intervals a digest states the load at upstreams, the largest part of
+/// it.
+const DIGEST_LOAD_INTERVALS: u64 = 2;
+
 /// Returns a message with the counts of this entry.
-pub(crate) fn report(node: &Node) -> Message {
+pub(crate) fn report(node: &Node, interval: u64) -> Message {
     let now = node.now();
     let counts = Counts {
         spending: SpendingSum {
@@ -23,7 +28,10 @@
         },
         requested: node.requested_units.borrow_mut().report(now),
         usage: node.usage.borrow().report(),
-        loads: Some(node.loads.borrow().load_reports()),
+        loads: Some(LoadPart::select(
+            node.loads.borrow().load_reports(),
+            interval,
+        )),
         demand: node.demand.borrow_mut().report(now),
     };
     let wall = node.clock.wall().duration_since(UNIX_EPOCH);
@@ -35,7 +43,7 @@
 }
 
 /// Returns a message with the sum over this entry's failure domain.
-pub(crate) fn domain_sum(node: &Node) -> Message {
+pub(crate) fn domain_sum(node: &Node, interval: u64) -> Message {
     let now = node.now();
     let roster = node.roster.borrow();
     let domain = &node.settings.domain;
@@ -44,7 +52,10 @@
         spending: node.quotas.borrow_mut().domain_sum(roster.parts(), now),
         requested: node.requested_units.borrow_mut().domain_report(now),
         usage: node.usage.borrow().domain_report(is_in_domain),
-        loads: Some(node.loads.borrow().domain_reports()),
+        loads: Some(LoadPart::select(
+            node.loads.borrow().domain_reports(),
+            interval,
+        )),
         demand: node.demand.borrow_mut().domain_report(now),
     };
     Message {
@@ -58,7 +69,7 @@
 }
 
 /// Returns a message for `member` with the sum over all other entries.
-pub(crate) fn digest(node: &Node, member: &Name, with_loads: bool) -> Message {
+pub(crate) fn digest(node: &Node, member: &Name, interval: u64) -> Message {
     let now = node.now();
     let roster = node.roster.borrow();
     let last_report = node.last_reports.borrow().get(member).copied();
@@ -70,7 +81,10 @@
         }
         _ => Vec::new(),
     };
-    let loads = with_loads.then(|| node.loads.borrow().reports_for(member));
+    let loads = interval.is_multiple_of(DIGEST_LOAD_INTERVALS).then(|| {
+        let reports = node.loads.borrow().reports_for(member);
+        LoadPart::select(reports, interval / DIGEST_LOAD_INTERVALS)
+    });
     let counts = Counts {
         spending: node
             .quotas
