End stale watches before the store may discard their history

Cause: a watch of 25 s began at a revision whose history the store keeps for 20 s. It was answered that the history is gone, and each entry listed the kind with a current read.

Change: such a watch ends after 12 s.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -37,8 +37,9 @@
 const STALE_SERVERS_LONG_POLL: Duration = Duration::from_millis(6000);
 
 /// Long-poll time of a stale watch on the configuration, of which peers report a
-/// newer version, or on the other entries.
-const STALE_LONG_POLL: Duration = Duration::from_millis(25_000);
+/// newer version, or on the other entries. The store may discard the history after a
+/// revision within 20 s, and a full list is billed as a current read.
+const STALE_LONG_POLL: Duration = Duration::from_millis(12_000);
 
 /// Long-poll time of a watch on upstreams. It bounds the time until a dead
 /// connection to the store is detected.
