--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -126,43 +126,76 @@
     let candidates: Vec<&Upstream> = candidates
         .filter(|upstream| !tracker.in_backoff(&upstream.key, now))
         .collect();
+    let cached = with_cached_parts(&candidates, query, tracker);
+    let cheapest = |candidates: &[Candidate<'a>]| {
+        candidates
+            .iter()
+            .map(|candidate| {
+                let uncached_shared = candidate.uncached_shared;
+                model.estimate(candidate.upstream, uncached_shared, query, tracker, now)
+            })
+            .min_by(|a, b| a.cost.total_cmp(&b.cost))
+    };
+    if let Some(size) = query.sample {
+        let best = cheapest(&sample(&cached, query, size));
+        if let Some(choice) = best
+            && choice.excess_wait(query.target_latency).is_none()
+        {
+            return Some(choice);
+        }
+        // The request is refused only if no upstream at all can begin it in time.
+    }
+    cheapest(&cached)
+}
+
+/// An upstream that may be chosen.
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    upstream: &'a Upstream,
+    /// Tokens of the prompt's shared parts that it probably has to prefill.
+    uncached_shared: u64,
+}
+
+fn with_cached_parts<'a>(
+    upstreams: &[&'a Upstream],
+    query: &Query<'_>,
+    tracker: &LoadTracker,
+) -> Vec<Candidate<'a>> {
     let shared = shared_parts(query.prompt);
-    let shared_tokens: u64 = shared.iter().map(|part| part.tokens).sum();
     let preferred = shared
         .last()
-        .and_then(|part| preferred(&candidates, &part.id));
-    let uncached: Vec<(&Upstream, u64)> = candidates
+        .and_then(|part| preferred(upstreams, &part.id));
+    upstreams
         .iter()
-        .map(|upstream| match preferred {
-            Some(preferred) if preferred.key == upstream.key => (*upstream, 0),
-            _ => (*upstream, uncached_shared_tokens(upstream, shared, tracker)),
+        .map(|upstream| Candidate {
+            upstream,
+            uncached_shared: match preferred {
+                Some(preferred) if preferred.key == upstream.key => 0,
+                _ => uncached_shared_tokens(upstream, shared, tracker),
+            },
         })
-        .collect();
-    let limit = query.sample.map_or(f64::INFINITY, |size| {
-        sample_limit(&candidates, query.draw, size)
-    });
-    let is_considered = |upstream: &Upstream, uncached_shared: u64| {
-        uncached_shared < shared_tokens || sample_rank(upstream, query.draw) <= limit
-    };
-    let estimate = |upstream: &'a Upstream, uncached_shared: u64| {
-        model.estimate(upstream, uncached_shared, query, tracker, now)
-    };
-    let best = uncached
+        .collect()
+}
+
+/// Returns the candidates that have some of the shared parts cached, and `size` random
+/// ones.
+fn sample<'a>(candidates: &[Candidate<'a>], query: &Query<'_>, size: usize) -> Vec<Candidate<'a>> {
+    let shared_tokens: u64 = shared_parts(query.prompt)
         .iter()
-        .filter(|(upstream, uncached_shared)| is_considered(upstream, *uncached_shared))
-        .map(|(upstream, uncached_shared)| estimate(upstream, *uncached_shared))
-        .min_by(|a, b| a.cost.total_cmp(&b.cost));
-    if best
-        .as_ref()
-        .is_some_and(|choice| choice.excess_wait(query.target_latency).is_none())
-    {
-        return best;
+        .map(|part| part.tokens)
+        .sum();
+    let rank = |candidate: &Candidate<'_>| uniform(&candidate.upstream.key.id, !query.draw);
+    let mut ranks: Vec<f64> = candidates.iter().map(rank).collect();
+    if ranks.len() <= size || size == 0 {
+        return candidates.to_vec();
     }
-    // The request is refused only if no upstream at all can begin it in time.
-    uncached
+    let (_, limit, _) = ranks.select_nth_unstable_by(size - 1, f64::total_cmp);
+    let limit = *limit;
+    candidates
         .iter()
-        .map(|(upstream, uncached_shared)| estimate(upstream, *uncached_shared))
-        .min_by(|a, b| a.cost.total_cmp(&b.cost))
+        .filter(|candidate| candidate.uncached_shared < shared_tokens || rank(candidate) <= limit)
+        .copied()
+        .collect()
 }
 
 impl CostModel {
@@ -293,24 +326,6 @@
     uniform(id, draw) * MAX_TIE_BREAK_COST
 }
 
-/// Returns the rank up to which upstreams belong to a random sample of `size`.
-fn sample_limit(candidates: &[&Upstream], draw: u64, size: usize) -> f64 {
-    let mut ranks: Vec<f64> = candidates
-        .iter()
-        .map(|upstream| sample_rank(upstream, draw))
-        .collect();
-    if ranks.len() <= size || size == 0 {
-        return f64::INFINITY;
-    }
-    let (_, limit, _) = ranks.select_nth_unstable_by(size - 1, f64::total_cmp);
-    *limit
-}
-
-/// Returns the position of an upstream in the random order of a request, from 0 to 1.
-fn sample_rank(upstream: &Upstream, draw: u64) -> f64 {
-    uniform(&upstream.key.id, !draw)
-}
-
 /// Returns a number from 0 to 1 that depends on upstream and request.
 fn uniform(id: &str, draw: u64) -> f64 {
     let mut hasher = FastHasher::default();
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use lycheehaven_dispatch::LoadPart;
 use lycheehaven_fleet::Role;
 use lycheehaven_fleet::Source;
 use lycheehaven_types::Name;
@@ -82,7 +81,7 @@
 }
 
 /// Applies the counts of a single entry.
-fn apply_entry(node: &Node, status: &Status, counts: Counts, now: Instant) {
+fn apply_entry(node: &Node, status: &Status, mut counts: Counts, now: Instant) {
     let (from, incarnation) = (&status.from, status.incarnation);
     if !is_own_part(node, from) {
         return;
@@ -102,15 +101,8 @@
         usage.deduct_recorded(from, incarnation, &counts.usage);
     }
     quotas.update_peer(from, incarnation, &counts.spending.spent, now);
-    usage.merge_peer(from, incarnation, counts.usage);
-    update_source(
-        node,
-        &Source::Entry(from.clone()),
-        counts.requested,
-        counts.demand,
-        counts.loads,
-        now,
-    );
+    usage.merge_peer(from, incarnation, std::mem::take(&mut counts.usage));
+    apply_sums(node, &Source::Entry(from.clone()), counts, now);
 }
 
 /// Whether the counts of an entry are not already part of a sum that this entry
@@ -122,7 +114,7 @@
 }
 
 /// Applies the sum over another failure domain.
-fn apply_domain(node: &Node, status: &Status, domain: &Name, counts: Counts, now: Instant) {
+fn apply_domain(node: &Node, status: &Status, domain: &Name, mut counts: Counts, now: Instant) {
     if *domain == node.settings.domain {
         return;
     }
@@ -133,15 +125,8 @@
         usage.deduct_recorded_domain(domain, &counts.usage);
     }
     quotas.update_domain(domain, &status.from, &counts.spending, now);
-    usage.merge_domain(domain, counts.usage);
-    update_source(
-        node,
-        &Source::Domain(domain.clone()),
-        counts.requested,
-        counts.demand,
-        counts.loads,
-        now,
-    );
+    usage.merge_domain(domain, std::mem::take(&mut counts.usage));
+    apply_sums(node, &Source::Domain(domain.clone()), counts, now);
 }
 
 /// Applies the sum over all entries except this one.
@@ -149,7 +134,7 @@
     node: &Node,
     status: &Status,
     confirmation: Option<Confirmation>,
-    counts: Counts,
+    mut counts: Counts,
     now: Instant,
 ) {
     if let Some(confirmation) = confirmation {
@@ -157,32 +142,20 @@
     }
     let mut quotas = node.quotas.borrow_mut();
     quotas.update_digest(&status.from, &counts.spending, now);
-    node.usage.borrow_mut().merge_digest(counts.usage);
-    update_source(
-        node,
-        &Source::Fleet,
-        counts.requested,
-        counts.demand,
-        counts.loads,
-        now,
-    );
+    let usage = std::mem::take(&mut counts.usage);
+    node.usage.borrow_mut().merge_digest(usage);
+    apply_sums(node, &Source::Fleet, counts, now);
 }
 
-fn update_source(
-    node: &Node,
-    source: &Source,
-    requested: Vec<(Name, f64)>,
-    demand: Vec<(Name, f64)>,
-    loads: Option<LoadPart>,
-    now: Instant,
-) {
+/// Applies the counts that are kept as sums by source.
+fn apply_sums(node: &Node, source: &Source, counts: Counts, now: Instant) {
     node.requested_units
         .borrow_mut()
-        .update_source(source.clone(), requested, now);
+        .update_source(source.clone(), counts.requested, now);
     node.demand
         .borrow_mut()
-        .update_source(source.clone(), demand, now);
-    if let Some(loads) = loads {
+        .update_source(source.clone(), counts.demand, now);
+    if let Some(loads) = counts.loads {
         node.loads
             .borrow_mut()
             .update_source(source.clone(), loads, now);
