--- a/crates/fleet/src/parts.rs
+++ b/crates/fleet/src/parts.rs
@@ -7,8 +7,9 @@
 /// Time until a report reaches every entry, where reports are sent directly.
 pub(crate) const MESH_LAG: Duration = Duration::from_millis(200);
 
-/// Time until a report reaches every entry through aggregators.
-pub(crate) const TREE_LAG: Duration = Duration::from_millis(600);
+/// Time until a report reaches every entry through aggregators, if up to half of the
+/// messages on its way are lost.
+pub(crate) const TREE_LAG: Duration = Duration::from_millis(1200);
 
 /// The parts of the fleet whose reports together cover the other entries.
 #[derive(Debug)]
