--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -116,6 +116,7 @@
                 if let Some(object) = object {
                     apply(&node, CountsSnapshot::deserialize(&object.spec));
                 }
+                node.snapshot_read.set(true);
                 node.counts_loaded.set(true);
                 return;
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -38,7 +38,9 @@
             Role::Aggregator => {
                 report_to_aggregators(&node, &socket, interval).await;
                 send_domain_sum(&node, &socket, interval).await;
-                send_digests(&node, &socket, interval).await;
+                if node.can_digest() {
+                    send_digests(&node, &socket, interval).await;
+                }
             }
         }
         sleep_ms(REPORT_INTERVAL_MS).await;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -71,8 +71,11 @@
     pub(crate) streams: RefCell<Streams>,
     pub(crate) metrics: Metrics,
     pub(crate) cost_model: CostModel,
-    /// Whether the counts snapshot from before this entry's start has been read.
+    /// Whether the counts from before this entry's start are known, from the snapshot
+    /// or from a digest.
     pub(crate) counts_loaded: Cell<bool>,
+    /// Whether this entry has read the counts snapshot itself.
+    pub(crate) snapshot_read: Cell<bool>,
     /// When the counts snapshot from before this entry's start was taken, or `None`
     /// if there is none.
     pub(crate) snapshot_time: Cell<Option<Instant>>,
@@ -141,6 +144,7 @@
             metrics: Metrics::new(),
             cost_model: CostModel::default(),
             counts_loaded: Cell::new(false),
+            snapshot_read: Cell::new(false),
             snapshot_time: Cell::new(None),
             holds_lease: Cell::new(false),
             holder_seen: Cell::new(None),
@@ -233,6 +237,12 @@
         self.requested_version.set(self.peer_version.get());
     }
 
+    /// Whether this entry can sum up the counts of the fleet: what was spent before its
+    /// start is known from the snapshot, or has left the window.
+    pub(crate) fn can_digest(&self) -> bool {
+        self.snapshot_read.get() || self.uptime() >= self.quotas.borrow().window()
+    }
+
     /// Whether this entry may rely on its peers for changes of upstreams.
     pub(crate) fn is_informed_by_peers(&self) -> bool {
         !self.follows_store() && self.follower_liveness.borrow().is_live(self.now())
--- a/crates/guard/src/quota.rs
+++ b/crates/guard/src/quota.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Returns the length of the window.
+    pub fn window(&self) -> Duration {
+        self.window
+    }
+
     /// Replaces a peer's reported spending in the last window. `now` is the time of
     /// the report.
     pub fn update_peer(
