Simplify sums of load, the ranking of entries and shared tokens

load_reports is one of the sums; the ranking of a domain is computed once a message; three places added up a prompt's tokens; two filters of entries became one. No decision changes.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -180,10 +180,7 @@
 /// Returns the candidates that have some of the shared parts cached, and `size` random
 /// ones.
 fn sample<'a>(candidates: &[Candidate<'a>], query: &Query<'_>, size: usize) -> Vec<Candidate<'a>> {
-    let shared_tokens: u64 = shared_parts(query.prompt)
-        .iter()
-        .map(|part| part.tokens)
-        .sum();
+    let shared_tokens = total_tokens(shared_parts(query.prompt));
     let rank = |candidate: &Candidate<'_>| uniform(&candidate.upstream.key.id, !query.draw);
     let mut ranks: Vec<f64> = candidates.iter().map(rank).collect();
     if ranks.len() <= size || size == 0 {
@@ -219,10 +216,7 @@
         now: Instant,
     ) -> Choice<'a> {
         let load = tracker.load(&upstream.key, now);
-        let shared: u64 = shared_parts(query.prompt)
-            .iter()
-            .map(|part| part.tokens)
-            .sum();
+        let shared = total_tokens(shared_parts(query.prompt));
         let uncached_tokens = query.tokens.saturating_sub(shared) + uncached_shared;
         let slowdown =
             tracker.upstream_slowdown(&upstream.key) * tracker.service_slowdown(&upstream.service);
@@ -282,6 +276,10 @@
     }
 }
 
+fn total_tokens(parts: &[PromptPart]) -> u64 {
+    parts.iter().map(|part| part.tokens).sum()
+}
+
 /// Returns all parts but the last, which no other request shares.
 fn shared_parts(prompt: &[PromptPart]) -> &[PromptPart] {
     &prompt[..prompt.len().saturating_sub(1)]
@@ -309,8 +307,7 @@
         .take_while(|part| tracker.cached_at(&upstream.key, &part.id).is_some())
         .map(|part| part.tokens)
         .sum();
-    let total: u64 = shared.iter().map(|part| part.tokens).sum();
-    total - cached
+    total_tokens(shared) - cached
 }
 
 fn hash_weight(key: &str, name: &str) -> u64 {
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Returns the load that the parts of the fleet report.
+    fn reported_parts(&self) -> Load {
+        let mut load = self.entries;
+        load.add(&self.domains);
+        load
+    }
+
     /// Returns the load that the fleet causes at present.
     fn expected_fleet(&self) -> Load {
         Load {
@@ -316,25 +323,18 @@
 
     /// Returns the load that this entry causes at each upstream.
     pub fn load_reports(&self) -> Vec<LoadReport> {
-        self.upstreams
-            .iter()
-            .filter(|(_, stats)| stats.local.requests > 0)
-            .map(|(upstream, stats)| LoadReport {
-                upstream: upstream.clone(),
-                load: stats.local,
-            })
-            .collect()
+        self.sums(None, |_| Load::default())
     }
 
     /// Returns the load that this entry and the entries that report to it directly
     /// cause at each upstream.
     pub fn domain_reports(&self) -> Vec<LoadReport> {
-        self.sums(None, |peers| vec![&peers.entries])
+        self.sums(None, |peers| peers.entries)
     }
 
     /// Returns the load that all entries except `member` cause at each upstream.
     pub fn reports_for(&self, member: &Name) -> Vec<LoadReport> {
-        self.sums(Some(member), |peers| vec![&peers.entries, &peers.domains])
+        self.sums(Some(member), PeerLoad::reported_parts)
     }
 
     /// Replaces the load that `source` reports for a part of the upstreams.
@@ -393,8 +393,7 @@
         if self.has_fleet_report(now) {
             load.add(&stats.peers.expected_fleet());
         } else {
-            load.add(&stats.peers.entries);
-            load.add(&stats.peers.domains);
+            load.add(&stats.peers.reported_parts());
         }
         let observed = stats
             .observed
@@ -446,12 +445,12 @@
         }
     }
 
-    /// Returns the load of this entry plus that of the kinds of sources that `parts`
-    /// selects, without the load that `except` reports.
+    /// Returns the load of this entry plus that of its peers as `peer_load` returns it,
+    /// without the load that `except` reports.
     fn sums(
         &self,
         except: Option<&Name>,
-        parts: impl for<'a> Fn(&'a PeerLoad) -> Vec<&'a Load>,
+        peer_load: impl Fn(&PeerLoad) -> Load,
     ) -> Vec<LoadReport> {
         let excepted: HashMap<&UpstreamKey, &Load> = except
             .and_then(|name| self.reports.get(&(Source::Entry(name.clone()), 0)))
@@ -467,9 +466,7 @@
             .iter()
             .map(|(upstream, stats)| {
                 let mut load = stats.local;
-                for part in parts(&stats.peers) {
-                    load.add(part);
-                }
+                load.add(&peer_load(&stats.peers));
                 if let Some(excepted) = excepted.get(upstream) {
                     load.subtract(excepted);
                 }
--- a/crates/fleet/src/parts.rs
+++ b/crates/fleet/src/parts.rs
@@ -7,8 +7,8 @@
 /// Time until a report reaches every entry, where reports are sent directly.
 pub(crate) const MESH_LAG: Duration = Duration::from_millis(200);
 
-/// Time until a report reaches every entry through aggregators, if up to half of the
-/// messages on its way are lost.
+/// Time until a report reaches every entry through aggregators, if each of the three
+/// messages on its way is lost once.
 pub(crate) const TREE_LAG: Duration = Duration::from_millis(1200);
 
 /// The parts of the fleet whose reports together cover the other entries.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -14,7 +14,7 @@
 use crate::parts::MESH_LAG;
 use crate::parts::TREE_LAG;
 
-/// Usual size of the largest fleet whose entries send their reports to one another
+/// Default for the largest fleet whose entries send their reports to one another
 /// directly.
 pub const MESH_LIMIT: usize = 12;
 
@@ -285,19 +285,27 @@
         }
         let domain = self.own_domain.clone();
         let own_name = self.own_name.clone();
-        match self.aggregators(&domain, now).contains(&own_name) {
-            true => Role::Aggregator,
-            false => Role::Member,
+        if self.aggregators(&domain, now).contains(&own_name) {
+            Role::Aggregator
+        } else {
+            Role::Member
         }
     }
 
     /// Returns the aggregators of a failure domain: the largest entries that are
     /// not suspected to be down, and this entry if it is among them.
     pub fn aggregators(&mut self, domain: &Name, now: Instant) -> Vec<Name> {
+        let ranked = self.ranked(domain);
+        self.choose_aggregators(&ranked, now)
+    }
+
+    /// Returns the aggregators among the entries of a failure domain, which are given
+    /// the largest first.
+    fn choose_aggregators(&mut self, ranked: &[Name], now: Instant) -> Vec<Name> {
         let mut chosen = Vec::new();
-        for name in self.ranked(domain) {
-            let is_own = name == self.own_name;
-            let Some(state) = self.states.get_mut(&name) else {
+        for name in ranked {
+            let is_own = *name == self.own_name;
+            let Some(state) = self.states.get_mut(name) else {
                 continue;
             };
             if chosen.len() == AGGREGATOR_COUNT {
@@ -307,7 +315,7 @@
             }
             state.expected.get_or_insert(now);
             if is_own || !state.is_suspect(now) {
-                chosen.push(name);
+                chosen.push(name.clone());
             }
         }
         chosen
@@ -322,8 +330,8 @@
         probes: bool,
         now: Instant,
     ) -> Vec<SocketAddr> {
-        let chosen = self.aggregators(domain, now);
         let ranked = self.ranked(domain);
+        let chosen = self.choose_aggregators(&ranked, now);
         let last = ranked.iter().rposition(|name| chosen.contains(name));
         ranked
             .iter()
--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -103,7 +103,7 @@
 /// up for it. The entry is not ready before, so this retries until the store
 /// responds.
 pub(crate) async fn load(node: Rc<Node>) {
-    while node.uptime() < DIGEST_WAIT && !is_aggregator(&node) {
+    while node.uptime() < DIGEST_WAIT && !must_read_snapshot(&node) {
         if node.quotas.borrow().has_digest(node.now()) {
             node.counts_loaded.set(true);
             return;
@@ -129,9 +129,9 @@
     }
 }
 
-/// Whether this entry is known to be one that sums up counts, or to receive those of
-/// all other entries directly.
-fn is_aggregator(node: &Node) -> bool {
+/// Whether this entry is known to be an aggregator, or part of a fleet without any, and
+/// so can't wait for a digest.
+fn must_read_snapshot(node: &Node) -> bool {
     node.roster.borrow().is_registered(node.incarnation) && node.role.get() != Role::Member
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 use compio::net::UdpSocket;
 use lycheehaven_fleet::Role;
 use lycheehaven_net::sleep_ms;
+use lycheehaven_types::Name;
 
 use crate::apply;
 use crate::message::Message;
@@ -85,10 +86,10 @@
     }
 }
 
-fn aggregators(node: &Node, domain: &str, interval: u64) -> Vec<SocketAddr> {
+fn aggregators(node: &Node, domain: &Name, interval: u64) -> Vec<SocketAddr> {
     let probes = interval.is_multiple_of(PROBE_INTERVALS);
     let mut roster = node.roster.borrow_mut();
-    roster.aggregator_addresses(&domain.into(), probes, node.now())
+    roster.aggregator_addresses(domain, probes, node.now())
 }
 
 async fn send_to_all(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
--- a/crates/guard/src/quota.rs
+++ b/crates/guard/src/quota.rs
@@ -136,9 +136,7 @@
     /// Returns the spending of this entry and of those that report to it directly.
     pub fn domain_sum(&mut self, parts: &Parts, now: Instant) -> SpendingSum {
         // What a snapshot holds for the whole fleet belongs to no domain.
-        let mut sum = self
-            .remote
-            .sum_entries(None, |entry| !is_fleet_wide(entry), now);
+        let mut sum = self.remote.sum_entries(|entry| !is_fleet_wide(entry), now);
         add_all(&mut sum, &self.local_spending(now).into_iter().collect());
         SpendingSum {
             spent: sum.into_iter().collect(),
@@ -148,7 +146,7 @@
 
     /// Returns the spending of all entries except `member`, for a digest.
     pub fn digest_for(&mut self, member: &Name, parts: &Parts, now: Instant) -> SpendingSum {
-        let mut sum = self.remote.sum_entries(Some(member), |_| true, now);
+        let mut sum = self.remote.sum_entries(|entry| entry != member, now);
         add_all(&mut sum, &self.local_spending(now).into_iter().collect());
         self.remote.add_domains(&mut sum, now);
         let silent = self.remote.silent_entries(Some(member), parts, now)
--- a/crates/guard/src/spending.rs
+++ b/crates/guard/src/spending.rs
@@ -214,20 +214,18 @@
         total + self.silent_in_domains(parts, now) as f64 * share
     }
 
-    /// Returns the spending of the entries that report directly, without `except` and
-    /// without entries that `is_included` rejects by name.
+    /// Returns the spending of the entries that report directly and that `is_included`
+    /// accepts by name.
     pub(crate) fn sum_entries(
         &self,
-        except: Option<&Name>,
         is_included: impl Fn(&Name) -> bool,
         now: Instant,
     ) -> HashMap<Name, f64> {
         let mut sum = HashMap::default();
         for (entry, known) in self.recent_entries(now) {
-            if Some(entry) == except || !is_included(entry) {
-                continue;
+            if is_included(entry) {
+                add_all(&mut sum, &known.spent);
             }
-            add_all(&mut sum, &known.spent);
         }
         sum
     }
--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -16,8 +16,9 @@
 /// Bytes after which a connection lets other tasks run.
 const YIELD_BYTES: usize = 64 * 1024;
 
-/// Largest response to a client, with its head and framing.
-pub(crate) const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
+/// Most bytes that a client reads after a write: the largest response with its head and
+/// framing.
+const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
 
 /// A byte stream for `hyper` that yields to the event loop while bytes keep arriving.
 ///
@@ -35,8 +36,7 @@
 }
 
 impl<S> FairStream<S> {
-    /// Wraps a client's connection. After each write, at most
-    /// 16 MiB are read.
+    /// Wraps a client's connection. Reading fails after a response that is too large.
     pub fn for_client(inner: S) -> Self {
         Self::new(inner, MAX_RESPONSE_BYTES)
     }
