Do not wait for the own registration at a restart

That is needed while a fleet starts for the first time and the list of entries grows; at a restart the list is complete.

Change: a role counts as known once the registrations are read, at a first start once the own one is among them. It is determined with the list.

--- a/crates/gateway/src/counts.rs
+++ b/crates/gateway/src/counts.rs
@@ -132,7 +132,7 @@
 /// Whether this entry is known to be an aggregator, or part of a fleet without any, and
 /// so can't wait for a digest.
 fn must_read_snapshot(node: &Node) -> bool {
-    node.roster.borrow().is_registered(node.incarnation) && node.role.get() != Role::Member
+    node.is_role_known() && node.role.get() != Role::Member
 }
 
 fn apply(node: &Node, snapshot: Result<CountsSnapshot, serde_json::Error>) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -237,6 +237,15 @@
         self.requested_version.set(self.peer_version.get());
     }
 
+    /// Whether this entry knows what it does in the exchange of messages: it has read
+    /// the registrations, and if all entries are starting for the first time, its own is
+    /// among them.
+    pub(crate) fn is_role_known(&self) -> bool {
+        let roster = self.roster.borrow();
+        let is_growing = self.settings.first_start && !roster.is_registered(self.incarnation);
+        roster.is_loaded() && !is_growing
+    }
+
     /// Whether this entry can sum up the counts of the fleet: what was spent before its
     /// start is known from the snapshot, or has left the window.
     pub(crate) fn can_digest(&self) -> bool {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -77,8 +77,8 @@
 /// The same while peers do not inform this entry.
 const UNINFORMED_RETRY_DOUBLINGS: u32 = 3;
 
-/// Longest time after the start for which an entry waits to learn from its registration
-/// what it does in the exchange, and so how it must follow the store.
+/// Longest time after the start for which an entry waits to learn what it does in the
+/// exchange of messages, and so how it must follow the store.
 const ROLE_WAIT: Duration = Duration::from_millis(1500);
 
 /// Follows the declared configuration.
@@ -138,10 +138,10 @@
     }
 }
 
-/// Waits after the first list until this entry's registration is known, so that a
-/// fleet that starts at once does not follow the store with every entry.
+/// Waits after the first list until this entry's role is known, so that a fleet that
+/// starts at once does not follow the store with every entry.
 async fn wait_for_role(node: &Node) {
-    while node.uptime() < ROLE_WAIT && !node.roster.borrow().is_registered(node.incarnation) {
+    while node.uptime() < ROLE_WAIT && !node.is_role_known() {
         sleep_ms(CHECK_INTERVAL_MS).await;
     }
 }
@@ -199,6 +199,7 @@
         Topic::Members => {
             let members = objects.iter().filter_map(members::decode).collect();
             node.roster.borrow_mut().replace(members);
+            node.update_role();
         }
     }
     Ok(revision)
