Keep the configuration fresh through one unanswered watch

Cause: a watch polled for up to 1.5 s, and a confirmation counts from the start of its call. If the next watch gets no answer, the configuration is 4.05 s old when it is listed again, and stale at 3.8 s.

Change: the poll time follows from what may pass until the next confirmation; 1.33 s here.

Test: the stand-in leaves one watch without an answer; a request was refused before (two of two runs), none after (two of two).

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 
 /// Time limit for a call, beyond the long-poll time of a watch.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
+pub(crate) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Largest number of pages that one list may have.
 const MAX_PAGES: usize = 64;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::outage::Outage;
 use crate::outage::Topic;
+use crate::store::RESPONSE_TIMEOUT;
 use crate::store::StoreError;
 use crate::store::WatchOutcome;
 
@@ -71,6 +72,12 @@
 /// Pause after a failed call, in milliseconds.
 const RETRY_DELAY_MS: u64 = 150;
 
+/// Time allowed for listing the configuration.
+const LIST_TIME: Duration = Duration::from_millis(100);
+
+/// Shortest poll time of a watch on the configuration, however soon it is stale.
+const SHORTEST_POLL: Duration = Duration::from_millis(200);
+
 /// Largest number of times that this pause is doubled.
 const MAX_RETRY_DOUBLINGS: u32 = 4;
 
@@ -291,11 +298,19 @@
                 Role::Mesh | Role::Member => CONFIG_LONG_POLL,
             };
             let stale_after = node.settings.bounds.stale_after();
-            stale_after.map_or(wait, |bound| wait.min(bound.mul_f64(0.4)))
+            stale_after.map_or(wait, |bound| wait.min(longest_poll(bound)))
         }
     }
 }
 
+/// Returns the longest poll time with which one unanswered watch does not make the
+/// configuration stale. A confirmation counts from the start of its call. So until the
+/// next one, two polls pass, the timeout of the second, and the pause before a list.
+fn longest_poll(stale_after: Duration) -> Duration {
+    let overhead = RESPONSE_TIMEOUT + Duration::from_millis(RETRY_DELAY_MS) + LIST_TIME;
+    (stale_after.saturating_sub(overhead) / 2).max(SHORTEST_POLL)
+}
+
 /// Waits until stale responses are no longer sufficient.
 async fn until_current_required(node: &Node, topic: Topic) {
     while required_consistency(node, topic) == ReadConsistency::Stale {
