Log how a stream's response ended where its framing does not prove it

Change: Framing says how the end of a body is marked. The relay logs the framing, the last event and the size of an incomplete event where the framing proves nothing or an event is incomplete. A failed move has its own line already, and a broken body too. No logic changed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use lycheehaven_channels::Connection;
 use lycheehaven_net::Body;
 use lycheehaven_net::CountGuard;
+use lycheehaven_net::Framing;
 use lycheehaven_net::SseSplitter;
 
 use crate::attempt;
@@ -41,6 +42,7 @@
     key: UpstreamKey,
     body: Incoming,
     head: ResponseHead,
+    framing: Framing,
     connection: Connection,
     load_guard: LoadGuard,
 }
@@ -53,6 +55,7 @@
             key: upstream_response.upstream.key,
             body,
             head: upstream_response.head,
+            framing: Framing::of(&parts.headers),
             connection: upstream_response.connection,
             load_guard: upstream_response.load_guard,
         };
@@ -219,6 +222,7 @@
     async fn handle_end(&mut self) -> Result<(), String> {
         match self.state.take_move_outcome().await {
             None | Some(MoveOutcome::Failed) => {
+                self.log_end();
                 self.finish();
                 Ok(())
             }
@@ -234,6 +238,27 @@
         }
     }
 
+    /// Logs the regular end of an upstream's response if its framing does not prove
+    /// that it is complete, or if it ends within an event.
+    fn log_end(&self) {
+        let Some(run) = &self.run else {
+            return;
+        };
+        if run.framing != Framing::UntilClose && self.splitter.is_empty() {
+            return;
+        }
+        log::info!(
+            target: "lycheehaven",
+            request = self.job.id(),
+            route = &*self.job.route.name,
+            upstream = &*run.key.id,
+            framing = run.framing.name(),
+            last_event = self.last_event.unwrap_or(0),
+            incomplete_bytes = self.splitter.pending();
+            "the response of the upstream ended without proof that it is complete"
+        );
+    }
+
     fn finish(&mut self) {
         if !self.splitter.is_empty() {
             self.pending.push_back(self.splitter.take_rest());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod client;
 mod fair_stream;
+mod framing;
 mod server;
 mod sse_parser;
 mod sse_splitter;
@@ -23,6 +24,7 @@
 pub use client::HttpClient;
 pub use client::Reply;
 pub use fair_stream::FairStream;
+pub use framing::Framing;
 pub use server::Handler;
 pub use server::ServerLimits;
 pub use server::serve;
--- a/crates/net/src/sse_splitter.rs
+++ b/crates/net/src/sse_splitter.rs
@@ -56,6 +56,11 @@
         self.buffer.is_empty()
     }
 
+    /// Returns the size of the incomplete event that is buffered.
+    pub fn pending(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the end of the first event, which is after an empty line.
     fn find_end(&mut self) -> Option<usize> {
         // The line break before an empty line may be among the last bytes
