Write the events before an error of a stream to the caller

Cause: an error of a response's body closes the caller's connection at once. Events that arrived together with the end of the upstream's response were still in the server's buffer, and the caller got nothing, not even a head. Change: the relay yields once before it reports the error, so that the server writes what it has.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use lycheehaven_net::CountGuard;
 use lycheehaven_net::Framing;
 use lycheehaven_net::SseSplitter;
+use lycheehaven_net::yield_now;
 
 use crate::attempt;
 use crate::attempt::Job;
@@ -124,7 +125,12 @@
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
             Ok(None) => None,
-            Err(cause) => Some((Err(io::Error::other(cause)), None)),
+            Err(cause) => {
+                // The connection is closed at once on an error: first the events before
+                // it are written.
+                yield_now().await;
+                Some((Err(io::Error::other(cause)), None))
+            }
         }
     });
     let body = Body::Chunks(Box::pin(stream));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -35,6 +35,7 @@
 pub use tasks::bind;
 pub use tasks::sleep_ms;
 pub use tasks::spawn_detached;
+pub use tasks::yield_now;
 pub use unpooled::RequestError;
 pub use unpooled::send_unpooled;
 
--- a/crates/net/src/tasks.rs
+++ b/crates/net/src/tasks.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use compio::net::TcpListener;
@@ -46,3 +47,16 @@
         self.0.set(self.0.get() - 1);
     }
 }
+
+/// Lets other tasks and the caller of the current task run once.
+pub async fn yield_now() {
+    let mut yielded = false;
+    std::future::poll_fn(|cx| {
+        if std::mem::replace(&mut yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
