Take a stream that ends within an event for broken off

Callers saw: status 200 with the engine's signature, fewer events than the stream has, an incomplete last event, and a final chunk. Cause: an upstream's response may have neither a length nor chunks and end with its connection. The HTTP client reports the close of the connection as a regular end, also when the upstream has crashed, and the relay ended the caller's body as complete after any regular end. Change: after a regular end, in any framing, a stream that is within an event is treated like a broken connection: it resumes at another upstream where the route allows that, else the caller's connection is closed without a final chunk, and before the first event the caller gets 502. The same holds for a response that ends with its connection before its first event. Line breaks after the last event are no event, and CR alone ends lines, as in the definition of event streams. A response that is declared as something else than an event stream is passed on whole. Conclusion: the end of a stream is decided by its events, and by the framing only where that proves the end.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -44,6 +44,8 @@
     body: Incoming,
     head: ResponseHead,
     framing: Framing,
+    /// Complete events that this run has produced.
+    events: usize,
     connection: Connection,
     load_guard: LoadGuard,
 }
@@ -57,6 +59,7 @@
             body,
             head: upstream_response.head,
             framing: Framing::of(&parts.headers),
+            events: 0,
             connection: upstream_response.connection,
             load_guard: upstream_response.load_guard,
         };
@@ -204,6 +207,9 @@
     fn queue_events(&mut self, bytes: &[u8]) {
         let events = self.splitter.push(bytes);
         self.count_tokens(events.len());
+        if let Some(run) = &mut self.run {
+            run.events += events.len();
+        }
         for event in events {
             if event.id.is_some() {
                 self.last_event = event.id;
@@ -229,6 +235,9 @@
         match self.state.take_move_outcome().await {
             None | Some(MoveOutcome::Failed) => {
                 self.log_end();
+                if let Some(cause) = self.truncation() {
+                    return self.recover(cause.into()).await;
+                }
                 self.finish();
                 Ok(())
             }
@@ -244,6 +253,20 @@
         }
     }
 
+    /// Returns why the regular end of an upstream's response is not the end of its
+    /// stream, or `None` if the stream is complete. An upstream that fails may close
+    /// its connection as it does after a response whose length it did not declare.
+    fn truncation(&self) -> Option<&'static str> {
+        let run = self.run.as_ref()?;
+        if self.splitter.is_within_event() {
+            return Some("the response of the upstream ended within an event");
+        }
+        if run.framing == Framing::UntilClose && run.events == 0 {
+            return Some("the upstream closed the connection before the first event");
+        }
+        None
+    }
+
     /// Logs the regular end of an upstream's response if its framing does not prove
     /// that it is complete, or if it ends within an event.
     fn log_end(&self) {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -238,7 +238,8 @@
     if status.is_server_error() && may_retry(node, job, attempts) {
         return Err(format!("the upstream returned status {status}"));
     }
-    if job.route.kind == RouteKind::Streaming && status.is_success() {
+    let streams = job.route.kind == RouteKind::Streaming && !upstream_response.head.single;
+    if streams && status.is_success() {
         return relay::start(node, job, upstream_response, attempts.delivered).await;
     }
     collect(node, job, upstream_response).await
--- a/crates/net/src/sse_splitter.rs
+++ b/crates/net/src/sse_splitter.rs
@@ -51,16 +51,22 @@
         std::mem::take(&mut self.buffer).into()
     }
 
-    /// Returns whether no incomplete event is buffered.
+    /// Returns whether no bytes after the last complete event are buffered.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
 
-    /// Returns the size of the incomplete event that is buffered.
+    /// Returns the number of buffered bytes after the last complete event.
     pub fn pending(&self) -> usize {
         self.buffer.len()
     }
 
+    /// Returns whether an event has begun and is not complete. Line breaks between
+    /// events belong to none.
+    pub fn is_within_event(&self) -> bool {
+        self.buffer.iter().any(|byte| !is_line_break(*byte))
+    }
+
     /// Returns the end of the first event, which is after an empty line.
     fn find_end(&mut self) -> Option<usize> {
         // The line break before an empty line may be among the last bytes
@@ -69,9 +75,9 @@
         let window = &self.buffer[from..];
         let found = window.iter().enumerate().find_map(|(index, byte)| {
             let rest = &window[index..];
-            if *byte != b'\n' {
+            if !is_line_break(*byte) {
                 None
-            } else if rest.starts_with(b"\n\n") {
+            } else if rest.starts_with(b"\n\n") || rest.starts_with(b"\r\r") {
                 Some(from + index + 2)
             } else if rest.starts_with(b"\n\r\n") {
                 Some(from + index + 3)
@@ -84,10 +90,14 @@
     }
 }
 
+fn is_line_break(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 /// Returns the number in an event's `id` field.
 fn event_id(event: &[u8]) -> Option<u64> {
     event
-        .split(|byte| *byte == b'\n')
+        .split(|byte| is_line_break(*byte))
         .filter_map(|line| line.strip_prefix(b"id:"))
         .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
 }
--- a/crates/net/tests/events.rs
+++ b/crates/net/tests/events.rs
@@ -30,6 +30,30 @@
     assert!(rest.is_empty());
 }
 
+#[test]
+fn lines_may_end_with_cr() {
+    let (events, rest) = split(&[b"id: 1\rdata: a\r", b"\rid: 2\r\r"]);
+    assert_eq!(events.len(), 2);
+    assert_eq!(events[1].id, Some(2));
+    assert!(rest.is_empty());
+}
+
+#[test]
+fn line_breaks_after_an_event_begin_no_other() {
+    let cases: [(&[u8], bool); 5] = [
+        (b"id: 1\n\n", false),
+        (b"id: 1\n\n\n\r\n", false),
+        (b"id: 1\r\r\n", false),
+        (b"id: 1\n\ni", true),
+        (b"id: 1\n", true),
+    ];
+    for (bytes, within) in cases {
+        let mut splitter = SseSplitter::default();
+        splitter.push(bytes);
+        assert_eq!(splitter.is_within_event(), within, "{bytes:?}");
+    }
+}
+
 #[test]
 fn event_without_id_field_has_no_id() {
     let (events, _) = split(&[b": comment\n\n"]);
