Take the end of a stream after a move without a result for broken off

Callers would see: a stream that looks complete and ends before its last event. Cause: a move stops a run and closes its stream. If the response to the move is lost, the relay takes the move for failed and the close of a connection without other framing for the end of the stream. Change: the stream remembers that a move may have stopped its run, until the engine says that it knows no such run or the stream continues with another one. Such a run's close is no end.

--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hyper::StatusCode;
 use lycheehaven_adapter::engine;
 use lycheehaven_adapter::upstream::KvSource;
 use lycheehaven_catalog::EngineSpec;
@@ -67,6 +68,8 @@
     /// Set while a move is in progress or its outcome is not taken; cancelled when
     /// the move completes.
     pending_move: RefCell<Option<CancellationToken>>,
+    /// Whether a move may have stopped the run at `upstream`.
+    stopped: Cell<bool>,
 }
 
 impl StreamState {
@@ -78,9 +81,21 @@
             started,
             move_outcome: RefCell::new(None),
             pending_move: RefCell::new(None),
+            stopped: Cell::new(false),
         })
     }
 
+    /// Records that the stream continues with a run at `upstream`.
+    pub(crate) fn begin_run(&self, upstream: Upstream) {
+        *self.upstream.borrow_mut() = upstream;
+        self.stopped.set(false);
+    }
+
+    /// Whether a move may have stopped the run, which ends its stream early.
+    pub(crate) fn may_be_stopped(&self) -> bool {
+        self.stopped.get()
+    }
+
     /// Waits for the pending move, if any, and takes its outcome.
     pub(crate) async fn take_move_outcome(&self) -> Option<MoveOutcome> {
         let completed = self.pending_move.borrow().clone()?;
@@ -266,6 +281,7 @@
         }
     };
     let body = engine::move_body(state.job.id(), target.upstream.addr, true);
+    state.stopped.set(true);
     let result = post_once(source.addr, engine::MOVE_PATH, &[], body, MOVE_TIMEOUT).await;
     let reply = match result {
         Ok(reply) => reply,
@@ -274,6 +290,10 @@
             return MoveOutcome::Failed;
         }
     };
+    if reply.status == StatusCode::NOT_FOUND {
+        // The run had ended by itself.
+        state.stopped.set(false);
+    }
     let cache = engine::decode_handle(&reply.body).map(|handle| KvSource {
         addr: source.addr,
         handle,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -261,10 +261,16 @@
         if self.splitter.is_within_event() {
             return Some("the response of the upstream ended within an event");
         }
-        if run.framing == Framing::UntilClose && run.events == 0 {
-            return Some("the upstream closed the connection before the first event");
+        match run.framing {
+            Framing::Length | Framing::Chunked => None,
+            Framing::UntilClose if run.events == 0 => {
+                Some("the upstream closed the connection before the first event")
+            }
+            Framing::UntilClose if self.state.may_be_stopped() => {
+                Some("the upstream closed the connection after an attempt to move the run")
+            }
+            Framing::UntilClose => None,
         }
-        None
     }
 
     /// Logs the regular end of an upstream's response if its framing does not prove
@@ -362,7 +368,7 @@
             return false;
         }
         upstream_response.load_guard.response_started();
-        *self.state.upstream.borrow_mut() = upstream_response.upstream.clone();
+        self.state.begin_run(upstream_response.upstream.clone());
         let (_, run) = Run::begin(*upstream_response);
         self.tried.push(run.key.clone());
         self.run = Some(run);
