Reset the connection of an HTTP/1.0 caller when a response breaks off

Callers would see: the beginning of a stream and a regular close, which marks the end of a response in HTTP/1.0. Cause: such a caller gets no chunks, and the server closes the connection in the same way after a whole response and after a broken one. Change: after an error, the connection of a caller below HTTP/1.1 is reset. Others see a missing chunk, and a reset could drop events that are not sent yet.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -13,6 +13,7 @@
 use futures_util::select;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -107,10 +108,14 @@
     token: CancellationToken,
     handler: impl Handler,
 ) {
-    let service = service_fn(move |request| {
+    let version = Rc::new(Cell::new(Version::HTTP_11));
+    let last_version = version.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        last_version.set(request.version());
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
+    let socket = stream.clone();
     let stream = FairStream::for_server(HyperStream::new_plain(stream));
     let connection = http1::Builder::new()
         .timer(CompioTimer)
@@ -118,12 +123,30 @@
         .max_buf_size(limits.header_bytes.max(8192))
         .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
-    let finished = select! {
-        _ = connection.as_mut().fuse() => true,
-        () = token.cancelled().fuse() => false,
+    let ended = select! {
+        result = connection.as_mut().fuse() => Some(result),
+        () = token.cancelled().fuse() => None,
     };
-    if !finished {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if result.is_err() && version.get() < Version::HTTP_11 {
+        reset_on_close(&socket);
+    }
+}
+
+/// Makes the close of `socket` a reset. A client that knows no chunks takes a regular
+/// close for the end of a response.
+fn reset_on_close(socket: &TcpStream) {
+    if let Err(cause) = SockRef::from(socket).set_linger(Some(Duration::ZERO)) {
+        log::warn!(
+            target: "lycheehaven",
+            cause = cause.to_string().as_str();
+            "a broken response may look complete to its client"
+        );
     }
 }
