Test that the own interface takes no cut response for a whole one

Change: tests against an engine whose first stream is cut at the close of its connection, between events and within one, and a plain service without framing, whole and reset.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,3 +13,4 @@
 mod stop;
 mod support;
 mod tools;
+mod truncation;
