Add the pauses of upstreams and the upstreams that may get a request

Cause: an upstream may reject a request and ask an entry to send nothing for some time; nothing kept that. Change: Pauses keeps them by incarnation, apart from failures and load. eligible() returns the upstreams that may get a request at all, or why there is none. Conclusion: not used by the gateway yet.

--- /dev/null
+++ b/crates/dispatch/src/eligible.rs
@@ -0,0 +1,50 @@
+//! Which upstreams a request may be sent to at all.
+
+use std::time::Instant;
+
+use lycheehaven_catalog::Directory;
+use lycheehaven_catalog::Upstream;
+use lycheehaven_catalog::UpstreamKey;
+
+use crate::pauses::Pause;
+use crate::pauses::Pauses;
+
+/// Why no upstream may get a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ineligible {
+    /// No other upstream of the service is ready.
+    NoneReady,
+    /// All ready upstreams want no requests. The pause is the first to end.
+    AllPaused(Pause),
+}
+
+/// Returns the upstreams of `service` that may get a request which was sent to those in
+/// `tried` before: those that are ready, not leaving and not paused.
+///
+/// # Errors
+/// Returns why there is none.
+pub fn eligible<'a>(
+    directory: &'a Directory,
+    pauses: &Pauses,
+    service: &'a str,
+    tried: &[UpstreamKey],
+    now: Instant,
+) -> Result<Vec<&'a Upstream>, Ineligible> {
+    let ready: Vec<&Upstream> = directory
+        .ready(service)
+        .filter(|upstream| !tried.contains(&upstream.key))
+        .collect();
+    let eligible: Vec<&Upstream> = ready
+        .iter()
+        .filter(|upstream| !pauses.is_paused(&upstream.key, now))
+        .copied()
+        .collect();
+    if !eligible.is_empty() {
+        return Ok(eligible);
+    }
+    let keys = ready.iter().map(|upstream| &upstream.key);
+    Err(match pauses.first_to_end(keys, now) {
+        Some(pause) => Ineligible::AllPaused(pause),
+        None => Ineligible::NoneReady,
+    })
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,19 +2,28 @@
 //!
 //! [`LoadTracker`] holds the known load of each upstream: this entry's own requests,
 //! the requests that peers report, the load that the upstream reports with its
-//! responses, and its recent failures. [`choose`] weighs the load against the prompt
-//! parts that an upstream has cached.
+//! responses, and its recent failures. [`Pauses`] holds which upstreams asked for no
+//! requests, and [`eligible`] returns those that may get one at all. Of these [`choose`]
+//! selects one: it weighs the load against the prompt parts that an upstream has cached.
 
 mod choose;
+mod eligible;
 mod load;
+mod pauses;
 
 pub use choose::Choice;
 pub use choose::CostModel;
 pub use choose::Query;
 pub use choose::choose;
+pub use eligible::Ineligible;
+pub use eligible::eligible;
 pub use load::Load;
 pub use load::LoadPart;
 pub use load::LoadReport;
 pub use load::LoadTracker;
 pub use load::ObservedLoad;
 pub use load::PRIORITY_LEVELS;
+pub use pauses::MAX_PAUSE;
+pub use pauses::Pause;
+pub use pauses::Pauses;
+pub use pauses::UNREADABLE_PAUSE;
