Send nothing to upstreams that say they leave or want a pause

Change: every response of an upstream, also to a move, goes through notice::apply. Leaving takes the path of store events and peers' reports. A paused upstream gets no first attempt, retry, moved stream or call. A moved stream waits up to 1.5 s for its target, as callers give a stream up after two. If all upstreams of a service pause, requests are refused at once. The entry looks again before it writes a request on a connection that took time to open. An engine that pauses for longer than a new one takes to start does not count for scaling. A pause does not count as a failure.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -60,7 +60,7 @@
         .borrow_mut()
         .update_peer(from, status.wall_ms, node.clock.wall(), now);
     for key in &status.leaving {
-        node.mark_leaving(key, from);
+        node.mark_leaving(key, from, "-");
     }
     for (key, revision) in &status.gone {
         node.mark_gone(key, *revision, from);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -31,6 +31,7 @@
 use lycheehaven_types::Name;
 
 use crate::node::Node;
+use crate::notice;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -181,7 +182,7 @@
 pub(crate) enum Outcome {
     /// The upstream ran the request and returned a success or an error.
     Responded(Box<UpstreamResponse>),
-    /// The upstream could not be reached; no byte was sent.
+    /// The upstream could not be reached, or wants no requests; no byte was sent.
     Unreachable(String),
     /// The upstream stated that it did not run the request.
     Refused(StatusCode),
@@ -208,6 +209,13 @@
             Ok(connection) => connection,
             Err(cause) => return Outcome::Unreachable(cause),
         };
+        if !may_still_send(node, &upstream.key, resume) {
+            let now = node.now();
+            node.pool
+                .borrow_mut()
+                .put(&upstream.key, connection, DEFAULT_IDLE, now);
+            return Outcome::Unreachable("it asked for no more requests meanwhile".into());
+        }
         let request = build_request(node, job, upstream, resume);
         node.metrics.sends.inc();
         let wait = deadline.saturating_duration_since(node.now());
@@ -246,6 +254,16 @@
     }
 }
 
+/// Whether the upstream that was chosen may still get the request, after the time that
+/// it took to connect. A run that goes on from its KV cache may go on at a leaving
+/// upstream.
+fn may_still_send(node: &Node, key: &UpstreamKey, resume: &ResumePoint) -> bool {
+    match resume.kv_source {
+        Some(_) => !node.is_paused(key),
+        None => node.may_send_to(key),
+    }
+}
+
 /// Records that the connection on which `upstream` ran `job` broke, and probes
 /// in the background whether the upstream is down, so that other requests avoid
 /// it.
@@ -340,6 +358,7 @@
 ) -> Outcome {
     let status = response.status();
     let head = upstream::decode_response(status, response.headers());
+    notice::apply(node, &upstream.key, head.notice, job.id());
     if let Some(load) = head.load {
         let observed = ObservedLoad {
             requests: load.running + load.waiting,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -8,6 +8,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
@@ -23,13 +24,14 @@
 /// The response to a call.
 #[derive(Debug)]
 pub(crate) struct Reply {
-    pub(crate) status: u16,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
 impl Reply {
     pub(crate) fn is_success(&self) -> bool {
-        (200..300).contains(&self.status)
+        self.status.is_success()
     }
 }
 
@@ -89,9 +91,13 @@
         .send(request)
         .await
         .map_err(|cause| cause.to_string())?;
-    let status = response.status().as_u16();
-    let body = read_body(response.into_body(), MAX_RESPONSE_BYTES, wait)
+    let (parts, body) = response.into_parts();
+    let body = read_body(body, MAX_RESPONSE_BYTES, wait)
         .await
         .map_err(|cause| cause.message)?;
-    Ok(Reply { status, body })
+    Ok(Reply {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -227,6 +227,7 @@
     let directory = node.directory.borrow();
     let mut pool = node.pool.borrow_mut();
     pool.sweep(|key| directory.is_ready(key), now);
+    node.pauses.borrow_mut().prune(now);
     let mut loads = node.loads.borrow_mut();
     loads.prune(|key| directory.is_ready(key), cache_age, now);
 }
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -239,7 +239,7 @@
         let headers = cloud::holder_headers(&self.node.settings.name, fence);
         let result = post_once(self.cloud.address, path, &headers, body, CLOUD_TIMEOUT).await;
         match result {
-            Ok(reply) => Some(reply.status),
+            Ok(reply) => Some(reply.status.as_u16()),
             Err(cause) => {
                 log::warn!(target: "lycheehaven", path = path, cause = cause.as_str(); "call to the cloud failed");
                 None
@@ -266,7 +266,7 @@
         if self.node.uptime() < self.scaling_delay() {
             return Vec::new();
         }
-        let fleet = fleet(&self.node, &service.name);
+        let fleet = fleet(&self.node, &service.name, scaling.boot_time);
         let busy = self
             .node
             .demand
@@ -308,7 +308,13 @@
             _ => scaler.record_refused(order, now),
         }
         let key = (order.domain.clone(), order.reclaimable);
-        let ready = fleet(&self.node, &service.name).get(&key).copied();
+        let boot_time = service.scaling.as_ref().map(|scaling| scaling.boot_time);
+        let fleet = fleet(
+            &self.node,
+            &service.name,
+            boot_time.unwrap_or(Duration::MAX),
+        );
+        let ready = fleet.get(&key).copied();
         let busy = self
             .node
             .demand
@@ -358,12 +364,17 @@
 }
 
 /// Returns the number of usable engines of a service by failure domain and by
-/// whether they are reclaimable.
-fn fleet(node: &Node, service: &str) -> Fleet {
+/// whether they are reclaimable. An engine that wants no requests until a new one could
+/// have started is not usable.
+fn fleet(node: &Node, service: &str, boot_time: Duration) -> Fleet {
+    let now = node.now();
     let directory = node.directory.borrow();
+    let pauses = node.pauses.borrow();
     let mut fleet = Fleet::default();
     for upstream in directory.of_service(service) {
-        if directory.is_usable(upstream) {
+        let pause = pauses.get(&upstream.key, now);
+        let paused = pause.is_some_and(|pause| pause.remaining(now) >= boot_time);
+        if directory.is_usable(upstream) && !paused {
             let key = (upstream.domain.clone(), upstream.reclaimable);
             *fleet.entry(key).or_default() += 1;
         }
--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -8,6 +8,7 @@
 
 use hyper::StatusCode;
 use lycheehaven_adapter::engine;
+use lycheehaven_adapter::upstream;
 use lycheehaven_adapter::upstream::KvSource;
 use lycheehaven_catalog::EngineSpec;
 use lycheehaven_catalog::Upstream;
@@ -27,6 +28,7 @@
 use crate::attempt::Target;
 use crate::call::post_once;
 use crate::node::Node;
+use crate::notice;
 use crate::serve;
 
 /// Interval between checks for leaving engines, in milliseconds.
@@ -213,7 +215,7 @@
     let Some(spec) = engine_spec(node, &upstream.service) else {
         return;
     };
-    if !spec.supports_moves {
+    if !spec.supports_moves || node.is_paused(&upstream.key) {
         return;
     }
     for state in streams_to_move(node, upstream, &spec, remaining, now) {
@@ -294,6 +296,8 @@
         // The run had ended by itself.
         state.stopped.set(false);
     }
+    let notice = upstream::decode_notice(reply.status, &reply.headers);
+    notice::apply(node, &source.key, notice, state.job.id());
     let cache = engine::decode_handle(&reply.body).map(|handle| KvSource {
         addr: source.addr,
         handle,
@@ -302,7 +306,7 @@
         state,
         &source,
         &target.upstream.key.id,
-        &reply.status.to_string(),
+        reply.status.as_str(),
     );
     match cache {
         Some(cache) if reply.is_success() => MoveOutcome::Transferred(Rc::new(target), cache),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod message;
 mod metrics;
 mod node;
+mod notice;
 mod outage;
 mod relay;
 mod serve;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use lycheehaven_channels::Pool;
 use lycheehaven_dispatch::CostModel;
 use lycheehaven_dispatch::LoadTracker;
+use lycheehaven_dispatch::Pauses;
 use lycheehaven_duties::Demand;
 use lycheehaven_duties::MedianClock;
 use lycheehaven_duties::Usage;
@@ -59,6 +60,7 @@
     pub(crate) role: Cell<Role>,
     pub(crate) last_reports: RefCell<HashMap<Name, LastReport>>,
     pub(crate) loads: RefCell<LoadTracker>,
+    pub(crate) pauses: RefCell<Pauses>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) quotas: RefCell<QuotaTracker>,
     /// Quota units that callers requested in the last second, by workspace.
@@ -132,6 +134,7 @@
             role: Cell::new(Role::Mesh),
             last_reports: RefCell::default(),
             loads: RefCell::default(),
+            pauses: RefCell::default(),
             pool: RefCell::default(),
             quotas: RefCell::new(quotas),
             requested_units: RefCell::new(FleetSums::new(REQUESTED_WINDOW)),
@@ -279,6 +282,7 @@
             ("open_requests", self.open_requests.get() as i64),
             ("ready", i64::from(self.is_ready())),
             ("upstreams_leaving", directory.leaving_count() as i64),
+            ("upstreams_paused", self.pauses.borrow().count(now) as i64),
             ("upstreams_ready", ready as i64),
             ("entries", roster.count() as i64),
             ("entries_heard", roster.reachable_count(now) as i64),
@@ -297,17 +301,33 @@
             .now_millis(self.clock.wall(), self.now())
     }
 
-    /// Marks an upstream as leaving.
-    pub(crate) fn mark_leaving(&self, key: &UpstreamKey, source: &str) {
-        if self.directory.borrow_mut().mark_leaving(key, self.now()) {
+    /// Marks an upstream as leaving. `request` is the request whose response says so,
+    /// or `-`.
+    pub(crate) fn mark_leaving(&self, key: &UpstreamKey, source: &str, request: &str) {
+        let now = self.now();
+        if self.directory.borrow_mut().mark_leaving(key, now) {
+            let read = self.upstreams_read.get();
+            let age = read.map(|at| now.saturating_duration_since(at));
             log::info!(
                 target: "lycheehaven",
-                upstream = &*key.id, born = key.incarnation, source = source;
+                upstream = &*key.id, born = key.incarnation, source = source,
+                request = request,
+                list_age_ms = age.map_or(-1, |age| age.as_millis() as i64);
                 "upstream is leaving; it gets no new requests"
             );
         }
     }
 
+    /// Whether an upstream may get new requests from this entry now.
+    pub(crate) fn may_send_to(&self, key: &UpstreamKey) -> bool {
+        self.directory.borrow().is_ready(key) && !self.is_paused(key)
+    }
+
+    /// Whether an upstream asked this entry for no requests for some time.
+    pub(crate) fn is_paused(&self, key: &UpstreamKey) -> bool {
+        self.pauses.borrow().is_paused(key, self.now())
+    }
+
     /// Removes an upstream whose registration a peer found missing at `revision`.
     pub(crate) fn mark_gone(&self, key: &UpstreamKey, revision: u64, source: &str) {
         let now = self.now();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,10 @@
 /// upstream.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Longest pause of an upstream for which a moved stream waits. Callers give up a
+/// stream without events after two seconds.
+const MAX_PAUSE_WAIT: Duration = Duration::from_millis(1500);
+
 /// The run at an upstream that the events currently come from.
 struct Run {
     key: UpstreamKey,
@@ -349,6 +353,9 @@
             }
             MoveOutcome::Failed => return false,
         };
+        if !self.wait_for_pause(&target.upstream.key).await {
+            return false;
+        }
         let resume = ResumePoint {
             last_event: self.last_event,
             kv_source: Some(kv_source),
@@ -358,6 +365,21 @@
         self.adopt_run(outcome)
     }
 
+    /// Waits until the pause of an upstream ends that holds the stream's KV cache.
+    /// Returns whether it ends soon enough.
+    async fn wait_for_pause(&self, key: &UpstreamKey) -> bool {
+        let now = self.node.now();
+        let Some(pause) = self.node.pauses.borrow().get(key, now) else {
+            return true;
+        };
+        let wait = pause.remaining(now);
+        if wait > MAX_PAUSE_WAIT.min(self.job.remaining(now)) {
+            return false;
+        }
+        compio::time::sleep(wait).await;
+        true
+    }
+
     /// Continues the stream with the run of a new attempt. Returns whether the
     /// attempt succeeded.
     fn adopt_run(&mut self, outcome: Outcome) -> bool {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,10 +8,11 @@
 use hyper::StatusCode;
 use lycheehaven_adapter::caller;
 use lycheehaven_catalog::RouteKind;
-use lycheehaven_catalog::Upstream;
 use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_dispatch::Ineligible;
 use lycheehaven_dispatch::Query;
 use lycheehaven_dispatch::choose;
+use lycheehaven_dispatch::eligible;
 use lycheehaven_fleet::Role;
 use lycheehaven_net::Body;
 use lycheehaven_net::read_body;
@@ -84,8 +85,11 @@
             Outcome::Refused(_) => attempts.delivered += 1,
             Outcome::Lost(cause) => {
                 attempts.delivered += 1;
-                let mut loads = node.loads.borrow_mut();
-                loads.record_outcome(&target.upstream.key, false);
+                // An upstream that asks for a pause is not faulty.
+                if !node.is_paused(&target.upstream.key) {
+                    let mut loads = node.loads.borrow_mut();
+                    loads.record_outcome(&target.upstream.key, false);
+                }
                 attempts.lost = Some(cause);
             }
         }
@@ -153,6 +157,17 @@
         .retry_after(NO_UPSTREAM_RETRY_AFTER.mul_f64(jitter))
 }
 
+fn ineligible_failure(ineligible: Ineligible, now: Instant) -> Failure {
+    match ineligible {
+        Ineligible::NoneReady => no_upstream("no upstream of the service is ready"),
+        Ineligible::AllPaused(pause) => {
+            let message = "all upstreams of the service want no requests for a while";
+            let wait = pause.return_delay(rand::random(), now);
+            Failure::new(ErrorKind::Overloaded, message).retry_after(wait)
+        }
+    }
+}
+
 /// Chooses a ready upstream that is not in `tried`.
 pub(crate) fn pick_target(
     node: &Node,
@@ -161,13 +176,9 @@
     now: Instant,
 ) -> Result<Target, Failure> {
     let directory = node.directory.borrow();
-    let candidates: Vec<&Upstream> = directory
-        .ready(&job.service)
-        .filter(|upstream| !tried.contains(&upstream.key))
-        .collect();
-    if candidates.is_empty() {
-        return Err(no_upstream("no upstream of the service is ready"));
-    }
+    let pauses = node.pauses.borrow();
+    let candidates = eligible(&directory, &pauses, &job.service, tried, now)
+        .map_err(|ineligible| ineligible_failure(ineligible, now))?;
     let catalog = node.config.borrow().catalog().cloned();
     let service = catalog
         .as_ref()
