--- a/crates/dispatch/tests/pauses.rs
+++ b/crates/dispatch/tests/pauses.rs
@@ -80,12 +80,13 @@
             pauses.record(engine, length, began);
         }
         let mut returns = vec![0_usize; 100];
-        for caller in 0..pause_steps * CALLERS {
-            let now = began + length.mul_f64(caller as f64 / (pause_steps * CALLERS) as f64);
+        let callers = pause_steps * CALLERS;
+        for (caller, draw) in draws.into_iter().take(callers).enumerate() {
+            let now = began + length.mul_f64(caller as f64 / callers as f64);
             let pause = pauses
                 .first_to_end(engines.iter(), now)
                 .expect("all engines pause");
-            let delay = pause.return_delay(draws[caller], now);
+            let delay = pause.return_delay(draw, now);
             prop_assert!(now + delay >= began + length, "returns within the pause");
             let step = (now + delay - began).as_millis() / STEP.as_millis();
             returns[step as usize] += 1;
