Move the reading and bounding of Retry-After into lycheehaven-types

Cause: the own interface's upstreams may send the header as well; the parsing stood in the adapter and the bounds in dispatch. Change: RetryAfter parses the value and returns the pause to observe. Conclusion: one copy for both doors; behaviour is unchanged, and the tests of both crates pass.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,7 +23,5 @@
 pub use load::LoadTracker;
 pub use load::ObservedLoad;
 pub use load::PRIORITY_LEVELS;
-pub use pauses::MAX_PAUSE;
 pub use pauses::Pause;
 pub use pauses::Pauses;
-pub use pauses::UNREADABLE_PAUSE;
--- a/crates/dispatch/src/pauses.rs
+++ b/crates/dispatch/src/pauses.rs
@@ -5,13 +5,7 @@
 
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_types::HashMap;
-
-/// Longest pause that is kept. An upstream that names a longer one would be excluded for
-/// good by a single faulty response.
-pub const MAX_PAUSE: Duration = Duration::from_secs(600);
-
-/// Pause after a request for one whose length can't be read.
-pub const UNREADABLE_PAUSE: Duration = Duration::from_secs(1);
+use lycheehaven_types::MAX_PAUSE;
 
 /// Range of the time over which callers return after a pause.
 const RETURN_SPREAD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(5));
--- a/crates/dispatch/tests/pauses.rs
+++ b/crates/dispatch/tests/pauses.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use lycheehaven_catalog::UpstreamKey;
-use lycheehaven_dispatch::MAX_PAUSE;
 use lycheehaven_dispatch::Pauses;
+use lycheehaven_types::MAX_PAUSE;
 use proptest::prelude::*;
 
 fn key(id: &str) -> UpstreamKey {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod error;
 mod ids;
+mod retry_after;
 mod sliding_sum;
 
 pub use clock::Clock;
@@ -19,6 +20,8 @@
 pub use ids::Name;
 pub use ids::RequestId;
 pub use ids::rendezvous_order;
+pub use retry_after::MAX_PAUSE;
+pub use retry_after::RetryAfter;
 pub use sliding_sum::SlidingSum;
 
 /// Hash map with a fast, non-cryptographic hasher. Keys chosen by callers are
