Observe leaving and pauses that upstreams of the own interface state

Cause: the own interface took a rejection with Retry-After for a failure with a backoff of its own, and knew of no upstream that says in a response that it is leaving. Change: responses of engines and plain services carry an UpstreamNotice. Leaving takes the path of a direct notice, which tells the peers. A pause excludes the upstream without counting as a failure; while all pause, calls are refused at once with the time of the first end, spread. Before, the second call reached the leaving upstream and a pause was not kept.

--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -44,6 +44,9 @@
 /// Quantile of the estimated answer length that admission charges.
 const CHARGE_QUANTILE: f64 = 0.7;
 
+/// Time over which callers return after a pause of all upstreams of a service.
+const PAUSE_SPREAD: Duration = Duration::from_secs(1);
+
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -243,13 +246,21 @@
     let available = upstreams
         .iter()
         .any(|upstream| &*upstream.service == service && !upstream.leaving);
-    if available {
-        return Ok(());
+    if !available {
+        return Err(Failure::new(
+            ErrorKind::NoUpstream,
+            format!("service {service} has no available upstream"),
+        ));
+    }
+    match upstreams.pause_left(service, node.now()) {
+        None => Ok(()),
+        Some(pause) => {
+            let message =
+                format!("all upstreams of service {service} want no requests for a while");
+            let spread = PAUSE_SPREAD.mul_f64(node.random() as f64 / u64::MAX as f64);
+            Err(Failure::new(ErrorKind::Overloaded, message).retry_after(pause + spread))
+        }
     }
-    Err(Failure::new(
-        ErrorKind::NoUpstream,
-        format!("service {service} has no available upstream"),
-    ))
 }
 
 /// Admits a request that is expected to generate `tokens` tokens, if the limits
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod load;
 mod metrics;
 mod node;
+mod notice;
 mod peer_api;
 mod peer_client;
 mod place;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -1,5 +1,6 @@
 //! Calls of plain services, with claims for calls that are not repeatable.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +29,7 @@
 use lycheehaven_types::Digest;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
+use lycheehaven_types::Incarnation;
 use lycheehaven_types::Name;
 use lycheehaven_types::Outcome;
 use lycheehaven_upstream::plain::PlainCall;
@@ -38,6 +40,7 @@
 use crate::complete;
 use crate::front::SERVICES_PREFIX;
 use crate::node::Node;
+use crate::notice;
 use crate::peer_client;
 use crate::record::ReaderGuard;
 use crate::record::Record;
@@ -137,19 +140,13 @@
 ) -> Result<PlainResponse, Failure> {
     let mut last = Failure::new(ErrorKind::NoUpstream, "the service has no usable upstream");
     for _ in 0..UPSTREAM_ATTEMPTS {
-        let Some((vm, addr)) = choose(node, service, "call") else {
+        let Some(target) = choose(node, service, "call") else {
             break;
         };
-        match send(node, addr, call).await {
-            Ok(answer) => {
-                node.upstreams.borrow_mut().record_success(&vm);
-                return Ok(answer);
-            }
-            Err(RequestError::NotSent(_)) => {
-                node.upstreams.borrow_mut().record_failure(&vm, node.now())
-            }
+        match send(node, &target, call, "call").await {
+            Ok(answer) => return Ok(answer),
+            Err(RequestError::NotSent(_)) => {}
             Err(RequestError::Uncertain(cause)) => {
-                node.upstreams.borrow_mut().record_failure(&vm, node.now());
                 last = Failure::new(ErrorKind::UpstreamLost, cause);
             }
         }
@@ -293,20 +290,16 @@
     node.claim_shards.mark_sent(claim.nonce, until);
     for _ in 0..UPSTREAM_ATTEMPTS {
         let subject = record.request.id.as_str();
-        let Some((vm, addr)) = choose(node, &record.request.service, subject) else {
+        let Some(target) = choose(node, &record.request.service, subject) else {
             break;
         };
-        match send(node, addr, &once.call).await {
+        match send(node, &target, &once.call, subject).await {
             Ok(answer) => {
-                node.upstreams.borrow_mut().record_success(&vm);
                 node.claim_shards.end(claim.nonce);
                 return Ok(answer);
             }
-            Err(RequestError::NotSent(_)) => {
-                node.upstreams.borrow_mut().record_failure(&vm, node.now())
-            }
+            Err(RequestError::NotSent(_)) => {}
             Err(RequestError::Uncertain(cause)) => {
-                node.upstreams.borrow_mut().record_failure(&vm, node.now());
                 node.claim_shards.end(claim.nonce);
                 return Err(Failure::new(ErrorKind::UpstreamLost, cause));
             }
@@ -437,7 +430,14 @@
     response
 }
 
-fn choose(node: &Node, service: &Name, subject: &str) -> Option<(Name, std::net::SocketAddr)> {
+/// Upstream that a call is sent to.
+struct Target {
+    vm: Name,
+    incarnation: Incarnation,
+    addr: SocketAddr,
+}
+
+fn choose(node: &Node, service: &Name, subject: &str) -> Option<Target> {
     let query = Query {
         service,
         domain: &node.settings.domain,
@@ -447,18 +447,37 @@
         without_suspects: false,
     };
     let choice = node.choose(&query, subject)?;
-    let addr = node.upstreams.borrow().get(&choice.vm)?.addr;
-    Some((choice.vm, addr))
+    let upstreams = node.upstreams.borrow();
+    let upstream = upstreams.get(&choice.vm)?;
+    Some(Target {
+        vm: choice.vm,
+        incarnation: upstream.id.incarnation,
+        addr: upstream.addr,
+    })
 }
 
+/// Sends a call once, and records the outcome and what the response says of the
+/// upstream. `subject` identifies the call in the log.
 async fn send(
-    node: &Node,
-    addr: std::net::SocketAddr,
+    node: &Rc<Node>,
+    target: &Target,
     call: &PlainCall,
+    subject: &str,
 ) -> Result<PlainResponse, RequestError> {
     let connect_timeout = Duration::from_millis(node.settings.timing.connect_ms);
     let silence_timeout = Duration::from_millis(node.settings.timing.silence_ms);
-    send_once(addr, call, connect_timeout, silence_timeout).await
+    match send_once(target.addr, call, connect_timeout, silence_timeout).await {
+        Ok(reply) => {
+            node.upstreams.borrow_mut().record_success(&target.vm);
+            notice::apply(node, &target.vm, target.incarnation, reply.notice, subject);
+            Ok(reply.response)
+        }
+        Err(cause) => {
+            let now = node.now();
+            node.upstreams.borrow_mut().record_failure(&target.vm, now);
+            Err(cause)
+        }
+    }
 }
 
 /// Periodically deletes claim objects whose idempotency keys have expired, in
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -19,12 +19,14 @@
 use lycheehaven_upstream::EngineEvent;
 use lycheehaven_upstream::EngineStream;
 use lycheehaven_upstream::StreamError;
+use lycheehaven_upstream::UpstreamNotice;
 use lycheehaven_upstream::protocol::Continuation;
 use lycheehaven_upstream::protocol::prefix_blocks;
 use lycheehaven_upstream::protocol::prompt_text;
 
 use crate::metrics::kind;
 use crate::node::Node;
+use crate::notice;
 use crate::record::Record;
 use crate::suspects;
 
@@ -278,6 +280,7 @@
         Ok(stream) => stream,
         Err(cause) => return Some(AttemptEnd::Stream(cause)),
     };
+    apply_notice(node, record, target, stream.notice());
     node.upstreams.borrow_mut().record_success(&target.vm);
     loop {
         if record.redirect.borrow().is_some() || record.handed_over.get() {
@@ -388,19 +391,23 @@
                 .record_failure(&target.vm, node.now());
             InterruptCause::NotStarted
         }
-        AttemptEnd::Stream(StreamError::Refused(status, message))
-            if (400..429).contains(&status) =>
+        AttemptEnd::Stream(StreamError::Refused(refusal))
+            if (400..429).contains(&refusal.status) =>
         {
             record.fail(
                 ErrorKind::BadRequest,
-                format!("the upstream refused the request: {message}"),
+                format!("the upstream refused the request: {}", refusal.message),
             );
             return;
         }
-        AttemptEnd::Stream(StreamError::Refused(..)) => {
-            node.upstreams
-                .borrow_mut()
-                .record_failure(&target.vm, node.now());
+        AttemptEnd::Stream(StreamError::Refused(refusal)) => {
+            apply_notice(node, record, target, refusal.notice);
+            // An upstream that asks for a pause is not faulty.
+            if refusal.notice.pause.is_none() {
+                node.upstreams
+                    .borrow_mut()
+                    .record_failure(&target.vm, node.now());
+            }
             InterruptCause::NotStarted
         }
         AttemptEnd::Stream(cause) => {
@@ -418,6 +425,12 @@
     record.handle(Event::Interrupt { attempt, cause });
 }
 
+/// Applies what a response says of the upstream of an attempt.
+fn apply_notice(node: &Rc<Node>, record: &Record, target: &Target, notice: UpstreamNotice) {
+    let request = record.request.id.as_str();
+    notice::apply(node, &target.vm, target.incarnation, notice, request);
+}
+
 /// Records the loss of an upstream against the request, unless the upstream
 /// still accepts connections or was leaving.
 async fn record_loss(node: &Rc<Node>, record: &Rc<Record>, target: &Target, early: bool) {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -72,6 +72,8 @@
     pub suspects: u32,
     pub(crate) retry_at: Option<Instant>,
     pub(crate) backoff: Duration,
+    /// End of the time for which the upstream wants no requests.
+    pub(crate) paused_until: Option<Instant>,
     pub(crate) prefixes: HashSet<u64>,
 }
 
@@ -101,12 +103,18 @@
             suspects: 0,
             retry_at: None,
             backoff: INITIAL_BACKOFF,
+            paused_until: None,
             prefixes: HashSet::default(),
         }
     }
 
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
-        !self.leaving && self.retry_at.is_none_or(|time| time <= now)
+        let is_in_backoff = self.retry_at.is_some_and(|time| now < time);
+        !self.leaving && !is_in_backoff && !self.is_paused(now)
+    }
+
+    fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|ends| now < ends)
     }
 }
 
@@ -173,6 +181,36 @@
         }
     }
 
+    /// Records that an incarnation wants no requests until `ends`, or until the end of an
+    /// earlier pause if that is later. Returns whether the end has changed.
+    pub fn pause(&mut self, name: &str, incarnation: Incarnation, ends: Instant) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return false;
+        };
+        let is_later = upstream.paused_until.is_none_or(|known| known < ends);
+        let changed = is_later && upstream.id.incarnation == incarnation;
+        if changed {
+            upstream.paused_until = Some(ends);
+        }
+        changed
+    }
+
+    /// Returns the time until the first pause ends if all upstreams of `service` that are
+    /// not leaving pause.
+    pub fn pause_left(&self, service: &str, now: Instant) -> Option<Duration> {
+        let staying = || {
+            self.iter()
+                .filter(|upstream| &*upstream.service == service && !upstream.leaving)
+        };
+        if !staying().all(|upstream| upstream.is_paused(now)) {
+            return None;
+        }
+        let first = staying()
+            .filter_map(|upstream| upstream.paused_until)
+            .min()?;
+        Some(first.saturating_duration_since(now))
+    }
+
     /// Records a load report of `incarnation` unless a later one is known.
     pub fn update_load(&mut self, name: &str, incarnation: Incarnation, load: Load) {
         let Some(upstream) = self.upstreams.get_mut(name) else {
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -23,6 +23,7 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::notice::UpstreamNotice;
 use crate::protocol::CacheEvents;
 use crate::protocol::Chunk;
 use crate::protocol::Continuation;
@@ -47,13 +48,24 @@
     Finish(String),
 }
 
+/// A response that refuses a request.
+#[derive(Debug)]
+pub struct Refusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Beginning of the body.
+    pub message: String,
+    /// What the response says of the engine.
+    pub notice: UpstreamNotice,
+}
+
 /// Why a stream failed.
 #[derive(Debug)]
 pub enum StreamError {
     /// The connection to the engine could not be established.
     Connect(String),
-    /// The engine refused the request with this status and message.
-    Refused(u16, String),
+    /// The engine refused the request.
+    Refused(Refusal),
     /// The connection broke, or the stream ended early or was malformed.
     Broken(String),
     /// The engine sent no data within the time limit.
@@ -64,7 +76,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(cause) => write!(f, "can't connect to the engine: {cause}"),
-            Self::Refused(status, message) => write!(f, "engine returned {status}: {message}"),
+            Self::Refused(refusal) => {
+                write!(f, "engine returned {}: {}", refusal.status, refusal.message)
+            }
             Self::Broken(cause) => write!(f, "the stream from the engine broke: {cause}"),
             Self::Timeout => f.write_str("the engine sent no data within the time limit"),
         }
@@ -81,9 +95,15 @@
     parser: SseParser,
     ready: VecDeque<EngineEvent>,
     token_timeout: Duration,
+    notice: UpstreamNotice,
 }
 
 impl EngineStream {
+    /// Returns what the head of the response says of the engine.
+    pub fn notice(&self) -> UpstreamNotice {
+        self.notice
+    }
+
     /// Waits for the next event.
     ///
     /// # Errors
@@ -184,17 +204,23 @@
                 RequestError::Uncertain(cause) => StreamError::Broken(cause),
             })?;
         let status = response.status().as_u16();
+        let notice = UpstreamNotice::of(response.status(), response.headers());
         if status != 200 {
             let bytes = response.into_body().collect().await;
             let bytes = bytes.map(|bytes| bytes.to_bytes()).unwrap_or_default();
             let message = String::from_utf8_lossy(&bytes[..bytes.len().min(200)]).into_owned();
-            return Err(StreamError::Refused(status, message));
+            return Err(StreamError::Refused(Refusal {
+                status,
+                message,
+                notice,
+            }));
         }
         Ok(EngineStream {
             body: BodyStream::new(response.into_body()),
             parser: SseParser::default(),
             ready: VecDeque::new(),
             token_timeout: self.token_timeout,
+            notice,
         })
     }
 
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -18,6 +18,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::notice::UpstreamNotice;
+
 /// Largest response body of a plain service.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -47,6 +49,15 @@
     pub body: Vec<u8>,
 }
 
+/// The response of a plain service, and what it says of the service's VM.
+#[derive(Debug)]
+pub struct PlainReply {
+    /// Response for the caller.
+    pub response: PlainResponse,
+    /// What the response says of the upstream.
+    pub notice: UpstreamNotice,
+}
+
 /// Sends `call` to `addr` once, without retries, and reads the whole response.
 /// `response_timeout` limits the wait for the response head, and again the reading
 /// of the body.
@@ -59,10 +70,11 @@
     call: &PlainCall,
     connect_timeout: Duration,
     response_timeout: Duration,
-) -> Result<PlainResponse, RequestError> {
+) -> Result<PlainReply, RequestError> {
     let request = build_request(addr, call).map_err(RequestError::NotSent)?;
     let response = send_unpooled(addr, request, connect_timeout, response_timeout).await?;
     let status = response.status().as_u16();
+    let notice = UpstreamNotice::of(response.status(), response.headers());
     let content_type = content_type_text(response.headers());
     let body = read_body(
         response.into_body().map_err(std::io::Error::other),
@@ -71,11 +83,12 @@
     )
     .await
     .map_err(|failure| RequestError::Uncertain(failure.message))?;
-    Ok(PlainResponse {
+    let response = PlainResponse {
         status,
         content_type,
         body: body.to_vec(),
-    })
+    };
+    Ok(PlainReply { response, notice })
 }
 
 fn content_type_text(headers: &HeaderMap) -> Option<String> {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,3 +14,4 @@
 mod support;
 mod tools;
 mod truncation;
+mod upstream_notice;
