Look up cached prompt parts by part when an upstream is chosen

Cause: a choice looked up each upstream under a pair of two shared names made for it, its backoff among its statistics, and hashed it twice for the sample. Change: PrefixCache keeps the holders by part, so that a part that no upstream has costs nothing; backoffs are a map of their own, mostly empty; the sample ranks each upstream once. The choice is the same.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -8,11 +8,13 @@
 use lycheehaven_catalog::EngineSpec;
 use lycheehaven_catalog::PromptPart;
 use lycheehaven_catalog::Upstream;
+use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_types::FastHasher;
 use lycheehaven_types::Name;
 
 use crate::load::Load;
 use crate::load::LoadTracker;
+use crate::prefix_cache::Holders;
 
 /// Assumptions about upstreams, and the weights of the terms of their cost.
 #[derive(Debug, Clone, Copy)]
@@ -162,6 +164,7 @@
     tracker: &LoadTracker,
 ) -> Vec<Candidate<'a>> {
     let shared = shared_parts(query.prompt);
+    let cached = CachedParts::of(shared, tracker);
     let preferred = shared
         .last()
         .and_then(|part| preferred(upstreams, &part.id));
@@ -171,7 +174,7 @@
             upstream,
             uncached_shared: match preferred {
                 Some(preferred) if preferred.key == upstream.key => 0,
-                _ => uncached_shared_tokens(upstream, shared, tracker),
+                _ => cached.uncached_tokens(&upstream.key),
             },
         })
         .collect()
@@ -180,18 +183,22 @@
 /// Returns the candidates that have some of the shared parts cached, and `size` random
 /// ones.
 fn sample<'a>(candidates: &[Candidate<'a>], query: &Query<'_>, size: usize) -> Vec<Candidate<'a>> {
-    let shared_tokens = total_tokens(shared_parts(query.prompt));
-    let rank = |candidate: &Candidate<'_>| uniform(&candidate.upstream.key.id, !query.draw);
-    let mut ranks: Vec<f64> = candidates.iter().map(rank).collect();
-    if ranks.len() <= size || size == 0 {
+    if candidates.len() <= size || size == 0 {
         return candidates.to_vec();
     }
-    let (_, limit, _) = ranks.select_nth_unstable_by(size - 1, f64::total_cmp);
+    let shared_tokens = total_tokens(shared_parts(query.prompt));
+    let ranks: Vec<f64> = candidates
+        .iter()
+        .map(|candidate| uniform(&candidate.upstream.key.id, !query.draw))
+        .collect();
+    let mut ordered = ranks.clone();
+    let (_, limit, _) = ordered.select_nth_unstable_by(size - 1, f64::total_cmp);
     let limit = *limit;
     candidates
         .iter()
-        .filter(|candidate| candidate.uncached_shared < shared_tokens || rank(candidate) <= limit)
-        .copied()
+        .zip(ranks)
+        .filter(|(candidate, rank)| candidate.uncached_shared < shared_tokens || *rank <= limit)
+        .map(|(candidate, _)| *candidate)
         .collect()
 }
 
@@ -295,19 +302,37 @@
         .copied()
 }
 
-/// Returns the tokens of the shared parts that an upstream probably has to prefill.
-/// A part counts as cached only if all parts before it are cached.
-fn uncached_shared_tokens(
-    upstream: &Upstream,
-    shared: &[PromptPart],
-    tracker: &LoadTracker,
-) -> u64 {
-    let cached: u64 = shared
-        .iter()
-        .take_while(|part| tracker.cached_at(&upstream.key, &part.id).is_some())
-        .map(|part| part.tokens)
-        .sum();
-    total_tokens(shared) - cached
+/// The upstreams that have the shared parts of a prompt cached.
+struct CachedParts<'a> {
+    /// Tokens and holders of the parts from the first on, up to the first that no
+    /// upstream has.
+    parts: Vec<(u64, &'a Holders)>,
+    /// Tokens of all shared parts.
+    total: u64,
+}
+
+impl<'a> CachedParts<'a> {
+    fn of(shared: &[PromptPart], tracker: &'a LoadTracker) -> Self {
+        let parts = shared
+            .iter()
+            .map_while(|part| Some((part.tokens, tracker.cache().holders(&part.id)?)));
+        Self {
+            parts: parts.collect(),
+            total: total_tokens(shared),
+        }
+    }
+
+    /// Returns the tokens of the shared parts that an upstream probably has to prefill.
+    /// A part counts as cached only if all parts before it are cached.
+    fn uncached_tokens(&self, upstream: &UpstreamKey) -> u64 {
+        let cached: u64 = self
+            .parts
+            .iter()
+            .take_while(|(_, holders)| holders.contains_key(upstream))
+            .map(|(tokens, _)| tokens)
+            .sum();
+        self.total - cached
+    }
 }
 
 fn hash_weight(key: &str, name: &str) -> u64 {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod eligible;
 mod load;
 mod pauses;
+mod prefix_cache;
 
 pub use choose::Choice;
 pub use choose::CostModel;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -13,6 +13,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::prefix_cache::PrefixCache;
+
 /// Number of priority levels that are distinguished. The last level includes all
 /// lower priorities.
 pub const PRIORITY_LEVELS: usize = 4;
@@ -214,7 +216,6 @@
     failures: u32,
     failure_rate: f64,
     slowdown: f64,
-    backoff_until: Option<Instant>,
 }
 
 impl Default for UpstreamStats {
@@ -226,7 +227,6 @@
             failures: 0,
             failure_rate: 0.0,
             slowdown: 1.0,
-            backoff_until: None,
         }
     }
 }
@@ -236,7 +236,9 @@
 pub struct LoadTracker {
     upstreams: HashMap<UpstreamKey, UpstreamStats>,
     reports: HashMap<(Source, usize), (Instant, Vec<LoadReport>)>,
-    cached_parts: HashMap<(UpstreamKey, Name), Instant>,
+    cache: PrefixCache,
+    /// When the backoffs of upstreams end.
+    backoffs: HashMap<UpstreamKey, Instant>,
     /// Ratio of measured to expected latency, by service.
     slowdowns: HashMap<Name, f64>,
 }
@@ -262,7 +264,7 @@
         stats.failure_rate += OUTCOME_WEIGHT * (failed - stats.failure_rate);
         if success {
             stats.failures = 0;
-            stats.backoff_until = None;
+            self.backoffs.remove(upstream);
         }
     }
 
@@ -299,7 +301,8 @@
         let stats = self.upstreams.entry(upstream.clone()).or_default();
         let backoff = INITIAL_BACKOFF * 2_u32.pow(stats.failures.min(5));
         stats.failures += 1;
-        stats.backoff_until = Some(now + backoff.min(MAX_BACKOFF));
+        let until = now + backoff.min(MAX_BACKOFF);
+        self.backoffs.insert(upstream.clone(), until);
     }
 
     /// Records the load that an upstream reported.
@@ -310,15 +313,12 @@
 
     /// Records that `upstream` has prefilled a prompt part.
     pub fn record_cached(&mut self, upstream: &UpstreamKey, part: &Name, now: Instant) {
-        self.cached_parts
-            .insert((upstream.clone(), part.clone()), now);
+        self.cache.record(upstream, part, now);
     }
 
-    /// Returns when this entry last had `upstream` prefill a prompt part.
-    pub fn cached_at(&self, upstream: &UpstreamKey, part: &Name) -> Option<Instant> {
-        self.cached_parts
-            .get(&(upstream.clone(), part.clone()))
-            .copied()
+    /// Returns the prompt parts that upstreams have cached.
+    pub(crate) fn cache(&self) -> &PrefixCache {
+        &self.cache
     }
 
     /// Returns the load that this entry causes at each upstream.
@@ -378,9 +378,8 @@
         self.upstreams.retain(|upstream, stats| {
             stats.local.requests > 0 || !stats.peers.is_empty() || keep(upstream)
         });
-        self.cached_parts.retain(|(upstream, _), at| {
-            keep(upstream) && now.saturating_duration_since(*at) < cache_age
-        });
+        self.cache.prune(&keep, cache_age, now);
+        self.backoffs.retain(|_, until| now < *until);
     }
 
     /// Returns the load at an upstream, caused by this entry and by all peers with a
@@ -421,10 +420,9 @@
 
     /// Returns whether an upstream is excluded after failures.
     pub fn in_backoff(&self, upstream: &UpstreamKey, now: Instant) -> bool {
-        self.upstreams
+        self.backoffs
             .get(upstream)
-            .and_then(|stats| stats.backoff_until)
-            .is_some_and(|until| now < until)
+            .is_some_and(|until| now < *until)
     }
 
     fn has_fleet_report(&self, now: Instant) -> bool {
