Bound the load reports in each message

Cause: messages held the load of up to 1,000 upstreams, about 50 kB. An aggregator sends that to the aggregators of all domains five times a second, and to each entry of its own at half that rate: with 1,000 upstreams and 100 entries several MB/s, more than small links carry. Entries that no longer hear an aggregator take over its work and send as much again, so the fleet did not recover. Change: a message holds a part of about 250 reports, and says how many parts there are. A part expires later by the time that the others take in turn, and parts of another number replace those before. The types of load have a file of their own. Conclusion: up to 250 upstreams in use nothing changes.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -13,7 +13,7 @@
 use lycheehaven_types::Name;
 
 use crate::load::Load;
-use crate::load::LoadTracker;
+use crate::load_tracker::LoadTracker;
 use crate::prefix_cache::Holders;
 
 /// Assumptions about upstreams, and the weights of the terms of their cost.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod choose;
 mod eligible;
 mod load;
+mod load_tracker;
 mod pauses;
 mod prefix_cache;
 
@@ -21,8 +22,8 @@
 pub use load::Load;
 pub use load::LoadPart;
 pub use load::LoadReport;
-pub use load::LoadTracker;
-pub use load::ObservedLoad;
 pub use load::PRIORITY_LEVELS;
+pub use load_tracker::LoadTracker;
+pub use load_tracker::ObservedLoad;
 pub use pauses::Pause;
 pub use pauses::Pauses;
--- a/crates/dispatch/tests/choose.rs
+++ b/crates/dispatch/tests/choose.rs
@@ -359,9 +359,9 @@
         })
         .collect();
     let mut tracker = LoadTracker::default();
-    for turn in 0..9 {
+    for turn in 0..30 {
         let part = LoadPart::select(reports.clone(), turn);
-        assert!(part.reports.len() < 1200, "{} reports", part.reports.len());
+        assert!(part.reports.len() < 300, "{} reports", part.reports.len());
         tracker.update_source(Source::Domain("keila".into()), part, now);
     }
     for upstream in &upstreams {
@@ -369,3 +369,63 @@
     }
     assert_eq!(tracker.reports_for(&"peer".into()).len(), 2300);
 }
+
+#[test]
+fn load_of_thousands_of_upstreams_stays_known_between_its_parts() {
+    const INTERVAL: Duration = Duration::from_millis(400);
+    let upstreams = upstreams(3000);
+    let reports: Vec<LoadReport> = upstreams
+        .iter()
+        .map(|upstream| LoadReport {
+            upstream: upstream.key.clone(),
+            load: Load::of_request(6600, 12_500, 1),
+        })
+        .collect();
+    for source in [Source::Fleet, Source::Domain("keila".into())] {
+        let mut now = Instant::now();
+        let mut tracker = LoadTracker::default();
+        for turn in 0..60 {
+            now += INTERVAL;
+            let part = LoadPart::select(reports.clone(), turn);
+            let parts = part.parts as u64;
+            tracker.update_source(source.clone(), part, now);
+            tracker.prune(|_| true, INTERVAL, now);
+            if turn >= parts {
+                let known = upstreams
+                    .iter()
+                    .filter(|upstream| tracker.load(&upstream.key, now).requests == 1)
+                    .count();
+                assert_eq!(known, upstreams.len(), "{source:?}, turn {turn}");
+            }
+        }
+        // The source is silent.
+        now += INTERVAL * 60;
+        tracker.prune(|_| true, INTERVAL, now);
+        assert_eq!(tracker.load(&upstreams[0].key, now).requests, 0);
+    }
+}
+
+#[test]
+fn parts_of_another_number_replace_those_before() {
+    let upstreams = upstreams(600);
+    let now = Instant::now();
+    let reports: Vec<LoadReport> = upstreams
+        .iter()
+        .map(|upstream| LoadReport {
+            upstream: upstream.key.clone(),
+            load: Load::of_request(100, 1000, 1),
+        })
+        .collect();
+    let mut tracker = LoadTracker::default();
+    for count in [600, 200, 600, 300] {
+        for turn in 0..6 {
+            let part = LoadPart::select(reports[..count].to_vec(), turn);
+            tracker.update_source(Source::Fleet, part, now);
+            let most = upstreams
+                .iter()
+                .map(|upstream| tracker.load(&upstream.key, now).requests)
+                .max();
+            assert!(most <= Some(1), "{count} reports, turn {turn}: {most:?}");
+        }
+    }
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -14,7 +14,7 @@
 use crate::confirm::Confirmation;
 
 /// Version of the message format.
-const FORMAT_VERSION: u8 = 3;
+const FORMAT_VERSION: u8 = 4;
 
 /// A periodic message of an entry. It also serves as heartbeat.
 #[derive(Debug, Serialize, Deserialize)]
