Bound the news of upstreams in each message

Cause: every message held all upstreams that were found leaving or missing in the last ten seconds. With 1,000 upstreams, of which most are ordered away within seconds, a message is larger than a datagram may be. It is dropped at the sender or can't be decoded, so entries no longer hear one another, take over the aggregators' work and are not ready. Change: a message holds at most 150 of either kind: the newest 75, and a part of the others in turn. All of 2,300 have been sent after 31 messages, six seconds, while entries that follow the store know them from there.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::news;
+
 /// One incarnation of an upstream. A restarted upstream registers under the same
 /// id.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -191,16 +193,15 @@
             .is_some_and(|removed| revision <= removed.revision)
     }
 
-    /// Returns the incarnations to report to peers as removed, with the revision
-    /// at which their registrations were missing.
-    pub fn recently_removed(&self, now: Instant) -> Vec<(UpstreamKey, u64)> {
-        self.removed
-            .iter()
-            .filter(|(_, removed)| {
-                now.saturating_duration_since(removed.seen_at) < Self::REPORT_PERIOD
-            })
-            .map(|(key, removed)| (key.clone(), removed.revision))
-            .collect()
+    /// Returns the incarnations that the message number `turn` reports to peers as
+    /// removed, with the revision at which their registrations were missing.
+    pub fn removed_news(&self, turn: u64, now: Instant) -> Vec<(UpstreamKey, u64)> {
+        let recent = self.removed.iter().filter(|(_, removed)| {
+            now.saturating_duration_since(removed.seen_at) < Self::REPORT_PERIOD
+        });
+        let changes =
+            recent.map(|(key, removed)| (removed.seen_at, (key.clone(), removed.revision)));
+        news::select(changes.collect(), turn)
     }
 
     /// Removes the upstreams whose registrations are still missing after the
@@ -249,14 +250,14 @@
         Some(ends_at.saturating_duration_since(now))
     }
 
-    /// Returns the incarnations to report to peers as leaving.
-    pub fn recently_leaving(&self, now: Instant) -> impl Iterator<Item = &UpstreamKey> {
-        self.leaving
-            .iter()
-            .filter(move |(_, leaving)| {
-                now.saturating_duration_since(leaving.seen_at) < Self::REPORT_PERIOD
-            })
-            .map(|(key, _)| key)
+    /// Returns the incarnations that the message number `turn` reports to peers as
+    /// leaving.
+    pub fn leaving_news(&self, turn: u64, now: Instant) -> Vec<UpstreamKey> {
+        let recent = self.leaving.iter().filter(|(_, leaving)| {
+            now.saturating_duration_since(leaving.seen_at) < Self::REPORT_PERIOD
+        });
+        let changes = recent.map(|(key, leaving)| (leaving.seen_at, key.clone()));
+        news::select(changes.collect(), turn)
     }
 
     /// Returns the number of incarnations known to be leaving.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -10,6 +10,7 @@
 mod catalog;
 mod directory;
 mod follower_liveness;
+mod news;
 mod request;
 mod route;
 
--- a/crates/catalog/tests/all.rs
+++ b/crates/catalog/tests/all.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +15,7 @@
 use lycheehaven_catalog::RouteKind;
 use lycheehaven_catalog::Split;
 use lycheehaven_catalog::Upstream;
+use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_catalog::UpstreamState;
 use lycheehaven_catalog::Workspace;
 
@@ -308,23 +310,23 @@
     directory.update(registered_at("b", 6), at(0));
     directory.remove(&"a".into(), 8, at(0));
     assert_eq!(
-        directory.recently_removed(at(1000)),
+        directory.removed_news(0, at(1000)),
         [(registered_at("a", 5).key, 8)]
     );
     directory.defer_removals(at(2000));
     directory.remove(&"b".into(), 9, at(1000));
     assert_eq!(
-        directory.recently_removed(at(1500)).len(),
+        directory.removed_news(0, at(1500)).len(),
         1,
         "the registration may only have expired"
     );
     directory.remove_deferred(at(2000));
     assert!(
         directory
-            .recently_removed(at(3000))
+            .removed_news(0, at(3000))
             .contains(&(registered_at("b", 6).key, 6))
     );
-    assert_eq!(directory.recently_removed(at(20_000)), []);
+    assert_eq!(directory.removed_news(0, at(20_000)), []);
 }
 
 #[test]
@@ -360,3 +362,26 @@
         Some(Duration::from_millis(600))
     );
 }
+
+#[test]
+fn news_of_many_upstreams_reaches_peers_in_turns() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut directory = Directory::default();
+    let key = |index: u64| UpstreamKey {
+        id: format!("i-{index}").into(),
+        incarnation: 1,
+    };
+    for index in 0..2300 {
+        directory.mark_leaving(&key(index), at(0));
+    }
+    directory.mark_leaving(&key(9999), at(100));
+    let mut reported = BTreeSet::new();
+    for turn in 0..31 {
+        let news = directory.leaving_news(turn, at(200));
+        assert!(news.len() <= 150, "{} in one message", news.len());
+        assert!(news.contains(&key(9999)), "the newest is in each message");
+        reported.extend(news);
+    }
+    assert_eq!(reported.len(), 2301);
+}
--- a/crates/catalog/tests/follow_model.rs
+++ b/crates/catalog/tests/follow_model.rs
@@ -149,10 +149,10 @@
                 }
                 let age = Duration::from_millis(random.random_range(0..2500));
                 liveness.record(age, now);
-                for key in follower.directory.recently_leaving(now) {
-                    entry.directory.mark_leaving(key, now);
+                for key in follower.directory.leaving_news(0, now) {
+                    entry.directory.mark_leaving(&key, now);
                 }
-                for (key, revision) in follower.directory.recently_removed(now) {
+                for (key, revision) in follower.directory.removed_news(0, now) {
                     entry.directory.remove_reported(&key, revision, now);
                 }
             }
--- a/crates/gateway/src/summary.rs
+++ b/crates/gateway/src/summary.rs
@@ -36,7 +36,11 @@
     };
     let wall = node.clock.wall().duration_since(UNIX_EPOCH);
     Message {
-        status: status(node, wall.map_or(0, |time| time.as_millis() as i64)),
+        status: status(
+            node,
+            wall.map_or(0, |time| time.as_millis() as i64),
+            interval,
+        ),
         scope: Scope::Entry,
         counts,
     }
@@ -59,7 +63,7 @@
         demand: node.demand.borrow_mut().domain_report(now),
     };
     Message {
-        status: status(node, node.wall_millis()),
+        status: status(node, node.wall_millis(), interval),
         scope: Scope::Domain {
             domain: domain.clone(),
             silent: encode_silent(roster.silent(Some(domain), now)),
@@ -96,7 +100,7 @@
         demand: node.demand.borrow_mut().report_for(member, now),
     };
     Message {
-        status: status(node, node.wall_millis()),
+        status: status(node, node.wall_millis(), interval),
         scope: Scope::Fleet {
             silent: encode_silent(roster.silent(None, now)),
             confirmation: last_report.and_then(|report| confirm::confirm(node, &report)),
@@ -105,7 +109,7 @@
     }
 }
 
-fn status(node: &Node, wall_ms: i64) -> Status {
+fn status(node: &Node, wall_ms: i64, interval: u64) -> Status {
     let now = node.now();
     let directory = node.directory.borrow();
     Status {
@@ -113,8 +117,8 @@
         incarnation: node.incarnation,
         uptime_ms: node.uptime().as_millis() as u64,
         wall_ms,
-        leaving: directory.recently_leaving(now).cloned().collect(),
-        gone: directory.recently_removed(now),
+        leaving: directory.leaving_news(interval, now),
+        gone: directory.removed_news(interval, now),
         crashes: node.crash_tracker.borrow().crash_reports(),
         holder_age: node.holder_age(now).map(|age| age.as_millis() as u64),
         version: node.config.borrow().version().unwrap_or(0),
