Forget the holders of prefix blocks that are discarded

Cause: when the blocks of an upstream were discarded because there were too many, its name stayed with each block. Such blocks pointed to an upstream that no longer counted as having them, and the map grew. Change: the blocks are discarded as after a gap in the cache events. Figures: discarded_blocks_have_no_holder failed before (1 holder) and passes.

--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -278,13 +278,16 @@
 
     /// Records that an upstream caches a prefix block.
     pub fn record_cached(&mut self, name: &Name, block: u64) {
+        let is_full = self
+            .get(name)
+            .is_some_and(|upstream| upstream.prefixes.len() >= MAX_PREFIX_BLOCKS);
+        if is_full {
+            // Subsequent requests and cache events record what is still cached.
+            self.clear_prefixes(name);
+        }
         let Some(upstream) = self.upstreams.get_mut(name) else {
             return;
         };
-        if upstream.prefixes.len() >= MAX_PREFIX_BLOCKS {
-            // Clearing the set is cheap: subsequent requests and cache events refill it.
-            upstream.prefixes.clear();
-        }
         if upstream.prefixes.insert(block) {
             let holders = self.prefix_holders.entry(block).or_default();
             if !holders.contains(name) {
@@ -293,6 +296,11 @@
         }
     }
 
+    /// Returns the number of upstreams that are recorded as holders of a prefix block.
+    pub fn holder_count(&self, block: u64) -> usize {
+        self.prefix_holders.get(&block).map_or(0, Vec::len)
+    }
+
     /// Records that an upstream evicted a prefix block.
     pub fn record_evicted(&mut self, name: &str, block: u64) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
