Keep fencing tokens growing when the store goes back to an older copy

Cause: a store that goes back has an older lease, or none. Its next holder would get a token that was used before, and the holder from before may act on while the next one begins. Change: begin_era gives up what a client knows of the lease and waits for the lease's length, which covers the last holder. Tokens of a later era exceed the lease's version, whose upper bits hold the era; eras beyond the first are the only ones with other tokens than before. Evidence: the lease model lets the store go back up to five seconds, with versions given out again. Versions only grow.

--- a/crates/placement/src/lease.rs
+++ b/crates/placement/src/lease.rs
@@ -4,6 +4,8 @@
 use std::time::Instant;
 
 use lycheehaven_types::Name;
+use lycheehaven_types::era_of;
+use lycheehaven_types::revision;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -16,7 +18,7 @@
 pub struct Lease {
     /// Name of the holder, which identifies one incarnation of an entry.
     pub holder: Name,
-    /// Fencing token. Increments with each change of the holder.
+    /// Fencing token. It is greater than that of all earlier holders.
     pub fence: u64,
     /// Number of renewals by this holder.
     pub renewal: u64,
@@ -27,7 +29,8 @@
 pub enum LeaseEvent {
     /// It is time to renew or check the lease.
     Tick,
-    /// The object was read: its version and content, or `None` if it is absent.
+    /// The object was read: its version (a revision of [`lycheehaven_types::revision`] if
+    /// the store may go back) and content, or `None` if it is absent.
     Loaded(Option<(u64, Lease)>),
     /// The write succeeded and produced this version.
     Written(u64),
@@ -62,6 +65,10 @@
     valid_from: Option<Instant>,
     needs_read: bool,
     vm: Option<Name>,
+    /// Era of the store, and the end of the time for which the lease of an earlier era
+    /// may be relied on.
+    era: u64,
+    held_until: Option<Instant>,
 }
 
 impl LeaseClient {
@@ -77,6 +84,33 @@
             valid_from: None,
             needs_read: false,
             vm: None,
+            era: 0,
+            held_until: None,
+        }
+    }
+
+    /// Takes note that the store went back to an older copy and so began `era`. The lease
+    /// that it holds may be older than the last one, whose holder may rely on that for
+    /// its length. Fencing tokens of this era are greater than those of earlier ones.
+    pub fn begin_era(&mut self, era: u64, now: Instant) {
+        if era > self.era {
+            self.era = era;
+            self.held_until = Some(now + self.length);
+            self.observed = None;
+            self.writing = None;
+            self.valid_from = None;
+            self.needs_read = true;
+        }
+    }
+
+    /// Returns the fencing token of the holder that follows the one with `fence`, whose
+    /// lease has this version. Once the store has gone back, the lease that it holds may
+    /// be older than the last one, or may have been written on a condition of an earlier
+    /// era. Versions grow through all of that, and so do tokens that exceed them.
+    fn next_fence(&self, version: u64, fence: u64) -> u64 {
+        match self.era {
+            0 => fence + 1,
+            _ => fence.max(version) + 1,
         }
     }
 
@@ -150,28 +184,35 @@
     }
 
     fn acquire_or_renew(&mut self, now: Instant) -> Option<LeaseAction> {
+        if self.held_until.is_some_and(|until| now < until) {
+            return None;
+        }
         let (condition, lease) = match &self.observed {
             None => (
                 None,
                 Lease {
                     holder: self.own_name.clone(),
-                    fence: 1,
+                    fence: self.next_fence(revision(self.era, 0), 0),
                     renewal: 0,
                 },
             ),
-            Some((version, lease, _)) if lease.holder == self.own_name => (
-                Some(*version),
-                Lease {
-                    renewal: lease.renewal + 1,
-                    ..lease.clone()
-                },
-            ),
+            Some((version, lease, _))
+                if lease.holder == self.own_name && era_of(lease.fence) == self.era =>
+            {
+                (
+                    Some(*version),
+                    Lease {
+                        renewal: lease.renewal + 1,
+                        ..lease.clone()
+                    },
+                )
+            }
             Some((version, lease, since)) => {
                 let expired = now.duration_since(*since) >= self.length;
                 if !expired && !self.is_earlier_incarnation(&lease.holder) {
                     return None;
                 }
-                let fence = lease.fence + 1;
+                let fence = self.next_fence(*version, lease.fence);
                 (
                     Some(*version),
                     Lease {
--- a/crates/placement/tests/lease_model.rs
+++ b/crates/placement/tests/lease_model.rs
@@ -1,5 +1,6 @@
 //! Simulation of entries that share one lease. Their calls are delayed, lost or
-//! take effect late, and the entries freeze and restart.
+//! take effect late, the entries freeze and restart, and the store may go back to an
+//! older copy.
 //!
 //! `LYCHEEHAVEN_SEED` sets the first seed of the simulated runs.
 
@@ -10,6 +11,8 @@
 use lycheehaven_placement::LeaseAction;
 use lycheehaven_placement::LeaseClient;
 use lycheehaven_placement::LeaseEvent;
+use lycheehaven_types::number_of;
+use lycheehaven_types::revision;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -43,10 +46,14 @@
     effect: u64,
     answer: Option<u64>,
     event: Option<LeaseEvent>,
+    /// Era of the store when the call took effect.
+    era: u64,
 }
 
 struct Entry {
     client: LeaseClient,
+    /// Latest era that the client has heard of.
+    era: u64,
     incarnation: u64,
     sent_at: Option<u64>,
     next_read: u64,
@@ -59,6 +66,7 @@
         let name = format!("{vm}/{incarnation}");
         Self {
             client: LeaseClient::new(name.into(), LENGTH).with_vm(vm.into()),
+            era: 0,
             incarnation,
             sent_at: None,
             next_read: step,
@@ -79,17 +87,25 @@
     random: StdRng,
     start: Instant,
     object: Option<(u64, Lease)>,
+    /// The object after each step.
+    history: Vec<Option<(u64, Lease)>>,
+    era: u64,
+    /// Probability in each step that the store goes back.
+    go_back: f64,
     entries: Vec<Entry>,
     calls: Vec<Call>,
     holder_steps: Vec<HolderStep>,
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, go_back: f64) -> Self {
         Self {
             random: StdRng::seed_from_u64(seed),
             start: Instant::now(),
             object: None,
+            history: Vec::new(),
+            era: 0,
+            go_back,
             entries: (0..4).map(|index| Entry::new(index, 0, 0)).collect(),
             calls: Vec::new(),
             holder_steps: Vec::new(),
@@ -114,20 +130,41 @@
             effect,
             answer,
             event: None,
+            era: 0,
         });
     }
 
+    /// Lets the store go back to a copy that is up to five seconds old. It gives versions
+    /// out again.
+    fn lose_writes(&mut self, step: u64) {
+        if self.go_back > 0.0 && self.random.random_bool(self.go_back) {
+            let age = self.random.random_range(1..100);
+            let copied = step.saturating_sub(age) as usize;
+            self.object = self.history.get(copied).cloned().flatten();
+            self.era += 1;
+        }
+        self.history.push(self.object.clone());
+    }
+
     /// Applies the calls that reach the store at `step`.
     fn take_effect(&mut self, step: u64) {
         for call in self.calls.iter_mut().filter(|call| call.effect == step) {
+            call.era = self.era;
+            let era = self.era;
             call.event = Some(match &call.request {
-                Request::Read => LeaseEvent::Loaded(self.object.clone()),
+                Request::Read => {
+                    let object = self.object.clone();
+                    LeaseEvent::Loaded(
+                        object.map(|(version, lease)| (revision(era, version), lease)),
+                    )
+                }
                 Request::Write(condition, lease) => {
                     let version = self.object.as_ref().map(|(version, _)| *version);
-                    if version == *condition {
+                    let condition = condition.map(number_of);
+                    if version == condition {
                         let next = version.unwrap_or(0) + 1;
                         self.object = Some((next, lease.clone()));
-                        LeaseEvent::Written(next)
+                        LeaseEvent::Written(revision(era, next))
                     } else {
                         LeaseEvent::Conflict
                     }
@@ -159,7 +196,18 @@
         });
         let waited_steps = self.entries[index].sent_at.map(|sent_at| step - sent_at);
         let event = match (arrived, waited_steps) {
-            (Some(position), Some(_)) => self.calls.swap_remove(position).event,
+            (Some(position), Some(_)) => {
+                let call = self.calls.swap_remove(position);
+                let entry = &mut self.entries[index];
+                let is_outdated = call.era < entry.era;
+                entry.era = entry.era.max(call.era);
+                entry.client.begin_era(entry.era, now);
+                if is_outdated {
+                    Some(LeaseEvent::NoAnswer)
+                } else {
+                    call.event
+                }
+            }
             (_, Some(waited_steps)) if waited_steps >= READ_INTERVAL_STEPS => {
                 self.abandon(index);
                 Some(LeaseEvent::NoAnswer)
@@ -193,6 +241,7 @@
     fn run(&mut self) {
         for step in 0..STEPS {
             self.take_effect(step);
+            self.lose_writes(step);
             for index in 0..self.entries.len() {
                 self.inject_faults(index, step);
                 self.step_entry(index, step);
@@ -238,6 +287,15 @@
 
 #[test]
 fn one_holder_at_a_time_under_lost_calls_and_restarts() {
+    check_seeds(0.0);
+}
+
+#[test]
+fn one_holder_at_a_time_though_the_store_goes_back() {
+    check_seeds(0.003);
+}
+
+fn check_seeds(go_back: f64) {
     let first = std::env::var("LYCHEEHAVEN_SEED")
         .ok()
         .and_then(|text| text.parse().ok())
@@ -245,7 +303,7 @@
     let mut holder_steps = 0;
     let mut holder_changes = 0;
     for seed in first..first + SEEDS {
-        let mut simulation = Simulation::new(seed);
+        let mut simulation = Simulation::new(seed, go_back);
         simulation.run();
         simulation.check(seed);
         holder_steps += simulation.holder_steps.len() as u64;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod ids;
 mod retry_after;
+mod revision;
 mod sliding_sum;
 
 pub use clock::Clock;
@@ -22,6 +23,10 @@
 pub use ids::rendezvous_order;
 pub use retry_after::MAX_PAUSE;
 pub use retry_after::RetryAfter;
+pub use revision::MAX_ERA;
+pub use revision::era_of;
+pub use revision::number_of;
+pub use revision::revision;
 pub use sliding_sum::SlidingSum;
 
 /// Hash map with a fast, non-cryptographic hasher. Keys chosen by callers are
