Follow a store that goes back to an older copy

Cause: after the store lost its last seconds, revisions are given out again. An upstream that registered again at a lower revision than it was once missing at stayed excluded for two minutes; a watch from a revision of before missed changes that got its number; a usage window was reported again with other counts, as the record of its report was lost. Change: responses state the store's era (Store-Era). Revisions hold it in their upper bits, so that everything that orders by them goes on to work, also in peers' reports; they are sent without it. Responses of an earlier era are dropped, conditions and watches of one count as outdated. Only windows that ended after an entry heard of the era are reported, unless a report of this era is recorded. Conclusion: without the header nothing changes.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -18,6 +18,7 @@
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use serde::Deserialize;
+use serde::Serialize;
 
 use crate::call::post_once;
 use crate::counts;
@@ -80,11 +81,21 @@
     }
 }
 
+/// The last usage report as it is stored.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct UsageRecord {
+    #[serde(flatten)]
+    counts: WindowCounts,
+    /// The store's era when the record was written.
+    #[serde(default)]
+    era: u64,
+}
+
 /// The last usage report in the store.
 #[derive(Debug)]
 struct UsageReport {
     revision: u64,
-    counts: WindowCounts,
+    record: UsageRecord,
     delivered: bool,
 }
 
@@ -129,7 +140,7 @@
         }
         let undelivered = self.report.as_ref().filter(|last| !last.delivered);
         if let Some(last) = undelivered {
-            let counts = last.counts.clone();
+            let counts = last.record.counts.clone();
             let delivered = self.deliver(&counts).await;
             if let Some(last) = &mut self.report {
                 last.delivered = delivered;
@@ -144,11 +155,11 @@
     async fn load_report(&mut self) {
         match self.node.store.read(USAGE.0, USAGE.1).await {
             Ok(None) => {}
-            Ok(Some(object)) => match WindowCounts::deserialize(&object.spec) {
-                Ok(counts) => {
+            Ok(Some(object)) => match UsageRecord::deserialize(&object.spec) {
+                Ok(record) => {
                     self.report = Some(UsageReport {
                         revision: object.revision,
-                        counts,
+                        record,
                         delivered: false,
                     });
                 }
@@ -177,9 +188,10 @@
         let usage = node.usage.borrow();
         let newest = usage.window_at(now_ms - delay).checked_sub(1)?;
         let max_lateness = (node.settings.bounds.usage_late_s * 1000.0) as i64;
-        let mut next = match &self.report {
-            Some(last) => last.counts.window + 1,
-            None => newest,
+        let is_of_present_era = |last: &&UsageReport| last.record.era == node.store.era();
+        let mut next = match self.report.as_ref().filter(is_of_present_era) {
+            Some(last) => last.record.counts.window + 1,
+            None => self.first_unreported(newest),
         };
         // Windows past their reporting deadline can't be reported any more.
         while next < newest && usage.window_end(next) + max_lateness < now_ms {
@@ -188,26 +200,42 @@
         (next <= newest).then_some(next)
     }
 
+    /// Returns the first window that no holder has reported, if the store holds no report
+    /// of its present era. Reports may be missing from a store that went back, so only
+    /// windows count that ended after this entry heard of it.
+    fn first_unreported(&self, newest: u64) -> u64 {
+        let node = &self.node;
+        let Some(began) = node.store.era_began() else {
+            return newest;
+        };
+        let age = node.now().saturating_duration_since(began);
+        let began_ms = node.wall_millis() - age.as_millis() as i64;
+        newest.max(node.usage.borrow().window_at(began_ms))
+    }
+
     /// Writes a window's counts to the store, so that every later holder delivers
     /// the same report.
     async fn commit_report(&mut self, window: u64) {
-        let counts = WindowCounts {
-            window,
-            counts: self.node.usage.borrow().window_total(window),
-        };
         let store = &self.node.store;
+        let record = UsageRecord {
+            counts: WindowCounts {
+                window,
+                counts: self.node.usage.borrow().window_total(window),
+            },
+            era: store.era(),
+        };
         let result = match &self.report {
-            None => store.create(USAGE.0, USAGE.1, &counts).await,
+            None => store.create(USAGE.0, USAGE.1, &record).await,
             Some(last) => {
                 let revision = Some(last.revision);
-                store.replace(USAGE.0, USAGE.1, revision, &counts).await
+                store.replace(USAGE.0, USAGE.1, revision, &record).await
             }
         };
         match result {
             Ok(WriteOutcome::Applied(revision)) => {
                 self.report = Some(UsageReport {
                     revision,
-                    counts,
+                    record,
                     delivered: false,
                 });
                 Box::pin(self.report_usage()).await;
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -84,6 +84,7 @@
     /// Reads the lease from the store and renews or acquires it if possible.
     async fn poll(&self) {
         let read = self.node.store.read(LEASE.0, LEASE.1).await;
+        self.note_era();
         let event = match read {
             Ok(object) => match object.map(decode).transpose() {
                 Ok(loaded) => LeaseEvent::Loaded(loaded),
@@ -100,10 +101,17 @@
         let action = self.client.borrow_mut().handle(event, self.node.now());
         if let Some(LeaseAction::Write(revision, lease)) = action {
             let event = self.write(revision, &lease).await;
+            self.note_era();
             self.client.borrow_mut().handle(event, self.node.now());
         }
     }
 
+    /// Gives the lease up if the store has gone back to an older copy.
+    fn note_era(&self) {
+        let era = self.node.store.era();
+        self.client.borrow_mut().begin_era(era, self.node.now());
+    }
+
     async fn write(&self, revision: Option<u64>, lease: &Lease) -> LeaseEvent {
         let store = &self.node.store;
         let result = match revision {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -127,7 +127,7 @@
         Rc::new(Self {
             incarnation: rand::random(),
             started: clock.now(),
-            store: Store::new(settings.store.address),
+            store: Store::new(settings.store.address, clock.clone()),
             config: RefCell::default(),
             directory: RefCell::default(),
             roster: RefCell::new(roster),
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -17,6 +17,13 @@
 /// further failed call extends it.
 const OUTAGE_HOLD: Duration = Duration::from_secs(10);
 
+/// Whether the store went back to an older copy so recently that others may not have
+/// repeated yet what they had written since.
+pub(crate) fn is_recovering(node: &Node) -> bool {
+    let began = node.store.era_began();
+    began.is_some_and(|at| node.now().saturating_duration_since(at) < RECOVERY_HOLD)
+}
+
 /// The kind of objects that a loop follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Topic {
@@ -35,6 +42,12 @@
     }
 }
 
+/// Keeps missing registrations until upstreams have had the time to renew them.
+pub(crate) fn hold_missing(node: &Node) {
+    let until = node.now() + RECOVERY_HOLD;
+    node.directory.borrow_mut().defer_removals(until);
+}
+
 /// Tracks whether the calls for one kind of objects are failing.
 #[derive(Debug, Default)]
 pub(crate) struct Outage {
@@ -69,8 +82,7 @@
             return;
         };
         if topic == Topic::Servers {
-            let until = node.now() + RECOVERY_HOLD;
-            node.directory.borrow_mut().defer_removals(until);
+            hold_missing(node);
         }
         let downtime = node.now().saturating_duration_since(since);
         log::info!(
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,8 +1,11 @@
 //! Client of the platform's store.
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::Method;
 use hyper::body::Bytes;
@@ -13,6 +16,8 @@
 use lycheehaven_net::CallError;
 use lycheehaven_net::HttpClient;
 use lycheehaven_net::Reply;
+use lycheehaven_types::Clock;
+use lycheehaven_types::era_of;
 use serde::Serialize;
 
 /// Time limit for a call, beyond the long-poll time of a watch.
@@ -28,6 +33,8 @@
     NoResponse(CallError),
     /// The store refused the call with this status; a write had no effect.
     Refused(u16),
+    /// The response is from before the store went back to an older copy.
+    Outdated,
     /// The response can't be decoded, or a list has more than [`MAX_PAGES`] pages.
     Undecodable,
 }
@@ -37,6 +44,7 @@
         match self {
             Self::NoResponse(cause) => write!(f, "no response from the store: {cause}"),
             Self::Refused(status) => write!(f, "the store refused the call with status {status}"),
+            Self::Outdated => f.write_str("the response is from before the store went back"),
             Self::Undecodable => f.write_str("the store's response can't be decoded"),
         }
     }
@@ -65,16 +73,38 @@
 pub(crate) struct Store {
     client: HttpClient,
     addr: SocketAddr,
+    clock: Rc<dyn Clock>,
+    /// The store's era, and when this entry first heard of it.
+    era: Cell<(u64, Option<Instant>)>,
 }
 
 impl Store {
-    pub(crate) fn new(addr: SocketAddr) -> Self {
+    pub(crate) fn new(addr: SocketAddr, clock: Rc<dyn Clock>) -> Self {
         Self {
             client: HttpClient::new().with_header("content-type", "application/json"),
             addr,
+            clock,
+            era: Cell::new((0, None)),
         }
     }
 
+    /// Returns the latest era of the store. It rises when the store goes back to an
+    /// older copy, which lacks what was written last.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.get().0
+    }
+
+    /// Returns when this entry first heard of the present era, or `None` if the store
+    /// has not gone back.
+    pub(crate) fn era_began(&self) -> Option<Instant> {
+        self.era.get().1
+    }
+
+    /// Whether a revision is of the present era.
+    pub(crate) fn is_present(&self, revision: u64) -> bool {
+        era_of(revision) == self.era()
+    }
+
     /// Returns all objects of a kind, and the revision to watch from.
     pub(crate) async fn list(&self, kind: &str) -> Result<(Vec<Object>, u64), StoreError> {
         let mut objects: Vec<Object> = Vec::new();
@@ -83,14 +113,17 @@
             let after = objects.last().map(|object| object.name.clone());
             let path = store::list_path(kind, after.as_deref());
             let reply = self.get(&path, Duration::ZERO).await?;
-            let page =
-                store::decode_page(&check_status(reply)?.body).ok_or(StoreError::Undecodable)?;
+            let page = store::decode_page(&check_status(reply)?.body, self.era());
+            let page = page.ok_or(StoreError::Undecodable)?;
             if page.unreadable > 0 {
                 log::warn!(target: "lycheehaven", kind = kind, count = page.unreadable; "skipped objects in the store that can't be decoded");
             }
             // Changes made during the listing are later than the first page's
             // revision.
             let revision = *first.get_or_insert(page.revision);
+            if !self.is_present(revision) {
+                return Err(StoreError::Outdated);
+            }
             let done = !page.more || page.items.is_empty();
             objects.extend(page.items);
             if done {
@@ -108,7 +141,7 @@
         if reply.status == 404 {
             return Ok(None);
         }
-        let object = store::decode_object(&check_status(reply)?.body);
+        let object = store::decode_object(&check_status(reply)?.body, self.era());
         object.map(Some).ok_or(StoreError::Undecodable)
     }
 
@@ -120,13 +153,17 @@
         wait: Duration,
         consistency: ReadConsistency,
     ) -> Result<WatchOutcome, StoreError> {
+        if !self.is_present(revision) {
+            return Ok(WatchOutcome::HistoryGone);
+        }
         let path = store::watch_path(kind, revision, wait.as_millis() as u64, consistency);
         let reply = self.get(&path, wait).await?;
-        if store::is_history_gone(reply.status) {
+        // The number of the revision may have been given out again.
+        if store::is_history_gone(reply.status) || !self.is_present(revision) {
             return Ok(WatchOutcome::HistoryGone);
         }
-        let changes =
-            store::decode_changes(&check_status(reply)?.body).ok_or(StoreError::Undecodable)?;
+        let changes = store::decode_changes(&check_status(reply)?.body, self.era());
+        let changes = changes.ok_or(StoreError::Undecodable)?;
         if changes.unreadable > 0 {
             log::warn!(target: "lycheehaven", kind = kind, count = changes.unreadable; "skipped changes from the store that can't be decoded");
         }
@@ -153,6 +190,9 @@
         revision: Option<u64>,
         spec: &impl Serialize,
     ) -> Result<WriteOutcome, StoreError> {
+        if revision.is_some_and(|revision| !self.is_present(revision)) {
+            return Ok(WriteOutcome::Conflict);
+        }
         let body = store::write_body(name, revision, spec);
         let path = store::object_path(kind, name);
         self.write(Method::PUT, &path, body).await
@@ -183,8 +223,8 @@
         if reply.status == 409 || reply.status == 404 {
             return Ok(WriteOutcome::Conflict);
         }
-        let object =
-            store::decode_object(&check_status(reply)?.body).ok_or(StoreError::Undecodable)?;
+        let object = store::decode_object(&check_status(reply)?.body, self.era());
+        let object = object.ok_or(StoreError::Undecodable)?;
         Ok(WriteOutcome::Applied(object.revision))
     }
 
@@ -200,10 +240,28 @@
         body: Bytes,
         wait: Duration,
     ) -> Result<Reply, StoreError> {
-        self.client
+        let reply = self
+            .client
             .call(method, self.addr, path, body, wait)
             .await
-            .map_err(StoreError::NoResponse)
+            .map_err(StoreError::NoResponse)?;
+        if let Some(era) = store::stated_era(&reply.headers) {
+            self.check_era(era)?;
+        }
+        Ok(reply)
+    }
+
+    /// Takes note of the era of a response.
+    fn check_era(&self, era: u64) -> Result<(), StoreError> {
+        let known = self.era();
+        if era < known {
+            return Err(StoreError::Outdated);
+        }
+        if era > known {
+            self.era.set((era, Some(self.clock.now())));
+            log::warn!(target: "lycheehaven", era = era, known = known; "the store went back to an older copy; reading everything again");
+        }
+        Ok(())
     }
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -18,6 +18,7 @@
 use crate::confirm;
 use crate::members;
 use crate::node::Node;
+use crate::outage;
 use crate::outage::Outage;
 use crate::outage::Topic;
 use crate::store::RESPONSE_TIMEOUT;
@@ -121,7 +122,8 @@
                 outage.record_success(&node, topic);
                 let changed = next.is_some() && next != revision;
                 let current = next.is_some() && consistency == ReadConsistency::Current;
-                if topic == Topic::Config && current {
+                // A configuration that was lost from the store may not be back yet.
+                if topic == Topic::Config && current && !outage::is_recovering(&node) {
                     node.config.borrow_mut().confirm(started);
                 }
                 if revision.is_none() && topic != Topic::Members {
@@ -198,6 +200,9 @@
             }
         }
         Topic::Servers => {
+            if outage::is_recovering(node) {
+                outage::hold_missing(node);
+            }
             let upstreams = objects.iter().filter_map(servers::decode).collect();
             node.directory
                 .borrow_mut()
