--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -12,39 +12,22 @@
 use lycheehaven_duties::Order;
 use lycheehaven_duties::ScaledService;
 use lycheehaven_duties::Scaler;
-use lycheehaven_duties::WindowCounts;
 use lycheehaven_guard::SNAPSHOT_CHECK_INTERVAL;
 use lycheehaven_net::sleep_ms;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
-use serde::Deserialize;
-use serde::Serialize;
 
-use crate::call::post_once;
+use crate::cloud_calls::CloudCalls;
 use crate::counts;
 use crate::lease::LeaseHandle;
 use crate::members::MEMBERS;
 use crate::node::Node;
-use crate::settings::CloudSettings;
 use crate::settings::Duty;
-use crate::store::WriteOutcome;
-
-/// Kind and name of the last usage report in the store.
-const USAGE: (&str, &str) = ("lycheehaven-usage", "last");
+use crate::usage_report::UsageReporter;
 
 /// Interval between runs of the duties, in milliseconds.
 const DUTY_INTERVAL_MS: u64 = SNAPSHOT_CHECK_INTERVAL.as_millis() as u64;
 
-/// Time limit for a call to the cloud.
-const CLOUD_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Delay of a usage report after its window's end, in milliseconds. The peers'
-/// counts arrive within this time.
-const REPORT_DELAY_MS: i64 = 1500;
-
-/// Delay of a usage report while some peers are unreachable, in milliseconds.
-const UNREACHABLE_PEERS_DELAY_MS: i64 = 3500;
-
 /// Delay of scaling after the very first start. The engines register within this
 /// time.
 const FIRST_START_DELAY: Duration = Duration::from_millis(1500);
@@ -66,10 +49,12 @@
     let Some(cloud) = node.settings.cloud.clone() else {
         return;
     };
+    let calls = Rc::new(CloudCalls::new(node.clone(), cloud.address, lease.clone()));
     let mut duties = Duties {
-        cloud,
+        usage: UsageReporter::new(node.clone(), calls.clone()),
+        duties: cloud.duties,
+        calls,
         lease,
-        report: None,
         scalers: HashMap::default(),
         last_fence: None,
         counts_written: None,
@@ -81,29 +66,13 @@
     }
 }
 
-/// The last usage report as it is stored.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct UsageRecord {
-    #[serde(flatten)]
-    counts: WindowCounts,
-    /// The store's era when the record was written.
-    #[serde(default)]
-    era: u64,
-}
-
-/// The last usage report in the store.
-#[derive(Debug)]
-struct UsageReport {
-    revision: u64,
-    record: UsageRecord,
-    delivered: bool,
-}
-
 struct Duties {
     node: Rc<Node>,
-    cloud: CloudSettings,
+    /// Duties that the settings enable.
+    duties: Vec<Duty>,
+    calls: Rc<CloudCalls>,
     lease: Rc<LeaseHandle>,
-    report: Option<UsageReport>,
+    usage: UsageReporter,
     scalers: HashMap<Name, Scaler>,
     /// Fencing token at the last run of the duties.
     last_fence: Option<u64>,
@@ -115,166 +84,23 @@
         let fence = self.lease.fence();
         if fence != self.last_fence {
             // Another holder may have reported and scaled meanwhile.
-            self.report = None;
+            self.usage.reset();
             self.scalers.clear();
             self.last_fence = fence;
         }
         if fence.is_none() {
             return;
         }
-        if self.cloud.duties.contains(&Duty::Usage) {
-            self.report_usage().await;
+        if self.duties.contains(&Duty::Usage) {
+            self.usage.run().await;
         }
-        if self.cloud.duties.contains(&Duty::Scaling) {
+        if self.duties.contains(&Duty::Scaling) {
             self.scale_services().await;
         }
         self.write_counts().await;
         self.remove_expired_members().await;
     }
 
-    /// Delivers the last report if necessary, or else commits the next one when it
-    /// is due.
-    async fn report_usage(&mut self) {
-        if self.report.is_none() {
-            self.load_report().await;
-        }
-        let undelivered = self.report.as_ref().filter(|last| !last.delivered);
-        if let Some(last) = undelivered {
-            let counts = last.record.counts.clone();
-            let delivered = self.deliver(&counts).await;
-            if let Some(last) = &mut self.report {
-                last.delivered = delivered;
-            }
-            return;
-        }
-        if let Some(window) = self.next_window() {
-            self.commit_report(window).await;
-        }
-    }
-
-    async fn load_report(&mut self) {
-        match self.node.store.read(USAGE.0, USAGE.1).await {
-            Ok(None) => {}
-            Ok(Some(object)) => match UsageRecord::deserialize(&object.spec) {
-                Ok(record) => {
-                    self.report = Some(UsageReport {
-                        revision: object.revision,
-                        record,
-                        delivered: false,
-                    });
-                }
-                Err(cause) => {
-                    let cause = cause.to_string();
-                    log::error!(target: "lycheehaven", cause = cause.as_str(); "can't decode the last usage report in the store; retrying");
-                }
-            },
-            Err(cause) => {
-                let cause = cause.to_string();
-                log::info!(target: "lycheehaven", cause = cause.as_str(); "can't read the last usage report from the store; retrying");
-            }
-        }
-    }
-
-    /// Returns the next window to report, if its counts are complete.
-    fn next_window(&self) -> Option<u64> {
-        let node = &self.node;
-        let roster = node.roster.borrow();
-        let delay = if roster.reachable_count(node.now()) + 1 < roster.count() {
-            UNREACHABLE_PEERS_DELAY_MS
-        } else {
-            REPORT_DELAY_MS
-        };
-        let now_ms = node.wall_millis();
-        let usage = node.usage.borrow();
-        let newest = usage.window_at(now_ms - delay).checked_sub(1)?;
-        let max_lateness = (node.settings.bounds.usage_late_s * 1000.0) as i64;
-        let is_of_present_era = |last: &&UsageReport| last.record.era == node.store.era();
-        let mut next = match self.report.as_ref().filter(is_of_present_era) {
-            Some(last) => last.record.counts.window + 1,
-            None => self.first_unreported(newest),
-        };
-        // Windows past their reporting deadline can't be reported any more.
-        while next < newest && usage.window_end(next) + max_lateness < now_ms {
-            next += 1;
-        }
-        (next <= newest).then_some(next)
-    }
-
-    /// Returns the first window that no holder has reported, if the store holds no report
-    /// of its present era. Reports may be missing from a store that went back, so only
-    /// windows count that ended after this entry heard of it.
-    fn first_unreported(&self, newest: u64) -> u64 {
-        let node = &self.node;
-        let Some(began) = node.store.era_began() else {
-            return newest;
-        };
-        let age = node.now().saturating_duration_since(began);
-        let began_ms = node.wall_millis() - age.as_millis() as i64;
-        newest.max(node.usage.borrow().window_at(began_ms))
-    }
-
-    /// Writes a window's counts to the store, so that every later holder delivers
-    /// the same report.
-    async fn commit_report(&mut self, window: u64) {
-        let store = &self.node.store;
-        let record = UsageRecord {
-            counts: WindowCounts {
-                window,
-                counts: self.node.usage.borrow().window_total(window),
-            },
-            era: store.era(),
-        };
-        let result = match &self.report {
-            None => store.create(USAGE.0, USAGE.1, &record).await,
-            Some(last) => {
-                let revision = Some(last.revision);
-                store.replace(USAGE.0, USAGE.1, revision, &record).await
-            }
-        };
-        match result {
-            Ok(WriteOutcome::Applied(revision)) => {
-                self.report = Some(UsageReport {
-                    revision,
-                    record,
-                    delivered: false,
-                });
-                Box::pin(self.report_usage()).await;
-            }
-            // Another holder wrote a report, or an earlier write took effect late.
-            Ok(WriteOutcome::Conflict) => self.report = None,
-            Err(cause) => {
-                self.report = None;
-                let cause = cause.to_string();
-                log::info!(target: "lycheehaven", window = window, cause = cause.as_str(); "can't write the usage report to the store; retrying");
-            }
-        }
-    }
-
-    /// Sends a report to the cloud. Returns whether it need not be sent again.
-    async fn deliver(&self, counts: &WindowCounts) -> bool {
-        let body = cloud::usage_body(counts.window, &counts.counts);
-        let Some(status) = self.call(cloud::USAGE_PATH, body).await else {
-            return false;
-        };
-        log::info!(target: "lycheehaven", window = counts.window, status = status; "sent a usage report to the cloud");
-        (200..300).contains(&status) || (400..429).contains(&status)
-    }
-
-    /// Calls the cloud with the fencing token. Returns the status, or `None` if
-    /// this entry lost the lease or no response arrived.
-    async fn call(&self, path: &str, body: Vec<u8>) -> Option<u16> {
-        let fence = self.lease.fence()?;
-        let headers = cloud::holder_headers(&self.node.settings.name, fence);
-        let result = post_once(self.cloud.address, path, &headers, body, CLOUD_TIMEOUT).await;
-        match result {
-            Ok(reply) => Some(reply.status.as_u16()),
-            Err(cause) => {
-                log::warn!(target: "lycheehaven", path = path, cause = cause.as_str(); "call to the cloud failed");
-                None
-            }
-        }
-    }
-
     async fn scale_services(&mut self) {
         let Some(catalog) = self.node.config.borrow().catalog().cloned() else {
             return;
@@ -326,7 +152,7 @@
             order.reclaimable,
             order.desired,
         );
-        let Some(status) = self.call(cloud::SCALE_PATH, body).await else {
+        let Some(status) = self.calls.call(cloud::SCALE_PATH, body).await else {
             return;
         };
         let now = self.node.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod apply;
 mod attempt;
 mod call;
+mod cloud_calls;
 mod confirm;
 mod counts;
 mod daemon;
@@ -32,6 +33,7 @@
 mod settings;
 mod store;
 mod summary;
+mod usage_report;
 mod watch;
 
 pub use daemon::run;
