Test notices of the own interface's engines in streams

Cause: leaving and pauses of engines were tested on plain calls only. Change: the engine that writes its responses byte by byte has a file of its own; tests of an engine that says in a stream that it leaves, and of one that pauses: the first request waits, others are refused at once.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod path;
 mod placement;
 mod poison;
+mod raw_engine;
 mod raw_input;
 mod reclaim;
 mod seeded;
--- a/tests/all/upstream_notice.rs
+++ b/tests/all/upstream_notice.rs
@@ -16,6 +16,10 @@
 use lycheehaven_standins::RawServer;
 use lycheehaven_upstream::LEAVING_HEADER;
 
+use crate::raw_engine;
+use crate::raw_engine::ANSWER;
+use crate::raw_engine::is_completion;
+use crate::raw_engine::respond_as_engine;
 use crate::support::DAEMON;
 use crate::support::client;
 use crate::support::run;
@@ -103,3 +107,56 @@
         assert_eq!(look_up(&cluster, 0).await.status, 200);
     });
 }
+
+#[test]
+fn engine_that_says_it_leaves_in_a_stream_gets_no_other() {
+    let server = RawServer::start(|request, stream| {
+        respond_as_engine(request, stream, &format!("{LEAVING_HEADER}: 1\r\n"), None);
+    });
+    run(async {
+        let cluster = raw_engine::cluster_with("poleer-llm", &server).await;
+        let addr = cluster.entries[0].listen;
+        let received = client().stream_to_end(&[addr], "table len=5").await;
+        assert_eq!(received.text, ANSWER);
+        let refused = client().complete(addr, "chair len=5").await.unwrap();
+        assert_eq!(refused.status, 503, "{refused:?}");
+        let attempts = server.received().into_iter().filter(is_completion);
+        assert_eq!(attempts.count(), 1);
+    });
+}
+
+/// The engine rejects the first request, which waits, and all others are refused.
+#[test]
+fn stream_waits_for_the_end_of_the_pause_of_its_only_engine() {
+    const PAUSE: Duration = Duration::from_millis(900);
+    let rejected = Arc::new(AtomicBool::new(false));
+    let first = rejected.clone();
+    let server = RawServer::start(move |request, stream| {
+        if is_completion(request) && !first.swap(true, Ordering::SeqCst) {
+            let head = "HTTP/1.1 503 Busy\r\nRetry-After: 0.9\r\nContent-Length: 0\r\n\r\n";
+            let _ = stream.write_all(head.as_bytes());
+            return;
+        }
+        respond_as_engine(request, stream, "", None);
+    });
+    run(async {
+        let cluster = raw_engine::cluster_with("poleer-llm", &server).await;
+        let addr = cluster.entries[0].listen;
+        let began = Instant::now();
+        let mut stream = client().stream(addr, "table len=5").await.unwrap();
+        while !rejected.load(Ordering::SeqCst) {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        compio::time::sleep(Duration::from_millis(100)).await;
+        let refused = client().complete(addr, "chair len=5").await.unwrap();
+        assert_eq!(refused.status, 503, "{refused:?}");
+        assert!(refused.headers.contains_key("retry-after"), "{refused:?}");
+        while stream.next().await {}
+        assert_eq!(stream.received.text, ANSWER);
+        assert!(
+            began.elapsed() >= PAUSE.mul_f64(0.9),
+            "{:?}",
+            began.elapsed()
+        );
+    });
+}
