Take the first era that an entry hears of as the present one

Cause: an entry took any era above 0 for news that the store had just gone back. If the store's first era is not 0, the first start of all entries waited 2.3 s for a confirmed configuration and for the length of the lease. Change: EraTracker tells the first era that is heard from one that rose. At the first start of the system nothing can have been lost; a process that restarts later waits for the lease and reports only windows that end later, as it can't know.

--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -109,7 +109,11 @@
     /// Gives the lease up if the store has gone back to an older copy.
     fn note_era(&self) {
         let era = self.node.store.era();
-        self.client.borrow_mut().begin_era(era, self.node.now());
+        let mut client = self.client.borrow_mut();
+        match era.lost_before() {
+            Some(_) => client.begin_era(era.latest(), self.node.now()),
+            None => client.start_in_era(era.latest()),
+        }
     }
 
     async fn write(&self, revision: Option<u64>, lease: &Lease) -> LeaseEvent {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod counts;
 mod daemon;
 mod duty;
+mod era;
 mod evacuate;
 mod exchange;
 mod front;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -29,6 +29,7 @@
 use lycheehaven_types::Name;
 use tokio_util::sync::CancellationToken;
 
+use crate::era::EraTracker;
 use crate::evacuate::Streams;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -127,7 +128,11 @@
         Rc::new(Self {
             incarnation: rand::random(),
             started: clock.now(),
-            store: Store::new(settings.store.address, clock.clone()),
+            store: Store::new(
+                settings.store.address,
+                clock.clone(),
+                EraTracker::new(settings.first_start),
+            ),
             config: RefCell::default(),
             directory: RefCell::default(),
             roster: RefCell::new(roster),
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -20,8 +20,8 @@
 /// Whether the store went back to an older copy so recently that others may not have
 /// repeated yet what they had written since.
 pub(crate) fn is_recovering(node: &Node) -> bool {
-    let began = node.store.era_began();
-    began.is_some_and(|at| node.now().saturating_duration_since(at) < RECOVERY_HOLD)
+    let rose_at = node.store.era().rose_at();
+    rose_at.is_some_and(|at| node.now().saturating_duration_since(at) < RECOVERY_HOLD)
 }
 
 /// The kind of objects that a loop follows.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,11 +1,9 @@
 //! Client of the platform's store.
 
-use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::Method;
 use hyper::body::Bytes;
@@ -20,6 +18,8 @@
 use lycheehaven_types::era_of;
 use serde::Serialize;
 
+use crate::era::EraTracker;
+
 /// Time limit for a call, beyond the long-poll time of a watch.
 pub(crate) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -74,35 +74,27 @@
     client: HttpClient,
     addr: SocketAddr,
     clock: Rc<dyn Clock>,
-    /// The store's era, and when this entry first heard of it.
-    era: Cell<(u64, Option<Instant>)>,
+    era: EraTracker,
 }
 
 impl Store {
-    pub(crate) fn new(addr: SocketAddr, clock: Rc<dyn Clock>) -> Self {
+    pub(crate) fn new(addr: SocketAddr, clock: Rc<dyn Clock>, era: EraTracker) -> Self {
         Self {
             client: HttpClient::new().with_header("content-type", "application/json"),
             addr,
             clock,
-            era: Cell::new((0, None)),
+            era,
         }
     }
 
-    /// Returns the latest era of the store. It rises when the store goes back to an
-    /// older copy, which lacks what was written last.
-    pub(crate) fn era(&self) -> u64 {
-        self.era.get().0
-    }
-
-    /// Returns when this entry first heard of the present era, or `None` if the store
-    /// has not gone back.
-    pub(crate) fn era_began(&self) -> Option<Instant> {
-        self.era.get().1
+    /// Returns what is known of the store's era.
+    pub(crate) fn era(&self) -> &EraTracker {
+        &self.era
     }
 
     /// Whether a revision is of the present era.
     pub(crate) fn is_present(&self, revision: u64) -> bool {
-        era_of(revision) == self.era()
+        era_of(revision) == self.era.latest()
     }
 
     /// Returns all objects of a kind, and the revision to watch from.
@@ -113,7 +105,7 @@
             let after = objects.last().map(|object| object.name.clone());
             let path = store::list_path(kind, after.as_deref());
             let reply = self.get(&path, Duration::ZERO).await?;
-            let page = store::decode_page(&check_status(reply)?.body, self.era());
+            let page = store::decode_page(&check_status(reply)?.body, self.era.latest());
             let page = page.ok_or(StoreError::Undecodable)?;
             if page.unreadable > 0 {
                 log::warn!(target: "lycheehaven", kind = kind, count = page.unreadable; "skipped objects in the store that can't be decoded");
@@ -141,7 +133,7 @@
         if reply.status == 404 {
             return Ok(None);
         }
-        let object = store::decode_object(&check_status(reply)?.body, self.era());
+        let object = store::decode_object(&check_status(reply)?.body, self.era.latest());
         object.map(Some).ok_or(StoreError::Undecodable)
     }
 
@@ -162,7 +154,7 @@
         if store::is_history_gone(reply.status) || !self.is_present(revision) {
             return Ok(WatchOutcome::HistoryGone);
         }
-        let changes = store::decode_changes(&check_status(reply)?.body, self.era());
+        let changes = store::decode_changes(&check_status(reply)?.body, self.era.latest());
         let changes = changes.ok_or(StoreError::Undecodable)?;
         if changes.unreadable > 0 {
             log::warn!(target: "lycheehaven", kind = kind, count = changes.unreadable; "skipped changes from the store that can't be decoded");
@@ -223,7 +215,7 @@
         if reply.status == 409 || reply.status == 404 {
             return Ok(WriteOutcome::Conflict);
         }
-        let object = store::decode_object(&check_status(reply)?.body, self.era());
+        let object = store::decode_object(&check_status(reply)?.body, self.era.latest());
         let object = object.ok_or(StoreError::Undecodable)?;
         Ok(WriteOutcome::Applied(object.revision))
     }
@@ -245,23 +237,11 @@
             .call(method, self.addr, path, body, wait)
             .await
             .map_err(StoreError::NoResponse)?;
-        if let Some(era) = store::stated_era(&reply.headers) {
-            self.check_era(era)?;
-        }
-        Ok(reply)
-    }
-
-    /// Takes note of the era of a response.
-    fn check_era(&self, era: u64) -> Result<(), StoreError> {
-        let known = self.era();
-        if era < known {
+        let era = store::stated_era(&reply.headers);
+        if !self.era.record(era, self.clock.now()) {
             return Err(StoreError::Outdated);
         }
-        if era > known {
-            self.era.set((era, Some(self.clock.now())));
-            log::warn!(target: "lycheehaven", era = era, known = known; "the store went back to an older copy; reading everything again");
-        }
-        Ok(())
+        Ok(reply)
     }
 }
 
--- a/crates/gateway/src/usage_report.rs
+++ b/crates/gateway/src/usage_report.rs
@@ -121,7 +121,7 @@
         let usage = node.usage.borrow();
         let newest = usage.window_at(now_ms - delay).checked_sub(1)?;
         let max_lateness = (node.settings.bounds.usage_late_s * 1000.0) as i64;
-        let is_of_present_era = |last: &&UsageReport| last.record.era == node.store.era();
+        let is_of_present_era = |last: &&UsageReport| last.record.era == node.store.era().latest();
         let mut next = match self.report.as_ref().filter(is_of_present_era) {
             Some(last) => last.record.counts.window + 1,
             None => self.first_unreported(newest),
@@ -138,12 +138,12 @@
     /// windows count that ended after this entry heard of it.
     fn first_unreported(&self, newest: u64) -> u64 {
         let node = &self.node;
-        let Some(began) = node.store.era_began() else {
+        let Some(lost_before) = node.store.era().lost_before() else {
             return newest;
         };
-        let age = node.now().saturating_duration_since(began);
-        let began_ms = node.wall_millis() - age.as_millis() as i64;
-        newest.max(node.usage.borrow().window_at(began_ms))
+        let age = node.now().saturating_duration_since(lost_before);
+        let lost_before_ms = node.wall_millis() - age.as_millis() as i64;
+        newest.max(node.usage.borrow().window_at(lost_before_ms))
     }
 
     /// Writes a window's counts to the store, so that every later holder delivers
@@ -155,7 +155,7 @@
                 window,
                 counts: self.node.usage.borrow().window_total(window),
             },
-            era: store.era(),
+            era: store.era().latest(),
         };
         let result = match &self.report {
             None => store.create(USAGE.0, USAGE.1, &record).await,
--- a/crates/placement/src/lease.rs
+++ b/crates/placement/src/lease.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Sets the era of a store that has not gone back since the first client of the lease
+    /// was created.
+    pub fn start_in_era(&mut self, era: u64) {
+        self.era = era;
+    }
+
     /// Takes note that the store went back to an older copy and so began `era`. The lease
     /// that it holds may be older than the last one, whose holder may rely on that for
     /// its length. Fencing tokens of this era are greater than those of earlier ones.
