Log pauses that the own interface's upstreams state unusably

Cause: the own interface bounded such a pause without a line. Change: UpstreamNotice keeps what the header says; the entry logs and bounds it, as the gateway does.

--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -29,11 +29,19 @@
         let notice = leaving_notice(vm, incarnation, ASSUMED_TIME_LEFT);
         evacuate::handle_leaving(node, vec![notice], NoticeOrigin::Direct);
     }
-    let Some(pause) = notice.pause else {
+    let Some(retry_after) = notice.pause else {
         return;
     };
-    let now = node.now();
-    let ends = now + pause;
+    let pause = retry_after.pause();
+    if retry_after.is_adjusted() {
+        log::warn!(
+            target: "routing",
+            vm = &**vm, request = request,
+            asked = format!("{retry_after:?}").as_str(), used_ms = pause.as_millis() as u64;
+            "the pause that an upstream asks for is unusable; another one is used"
+        );
+    }
+    let ends = node.now() + pause;
     if node.upstreams.borrow_mut().pause(vm, incarnation, ends) {
         log::info!(
             target: "routing",
--- a/crates/upstream/src/notice.rs
+++ b/crates/upstream/src/notice.rs
@@ -1,7 +1,5 @@
 //! What responses say of the upstreams that sent them.
 
-use std::time::Duration;
-
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::RETRY_AFTER;
@@ -16,7 +14,7 @@
     /// Whether the upstream is leaving.
     pub leaving: bool,
     /// Time for which the upstream wants no requests from this entry.
-    pub pause: Option<Duration>,
+    pub pause: Option<RetryAfter>,
 }
 
 impl UpstreamNotice {
@@ -30,7 +28,7 @@
             leaving: headers
                 .get(LEAVING_HEADER)
                 .is_some_and(|value| value == "1"),
-            pause: pause.map(RetryAfter::pause),
+            pause,
         }
     }
 }
