Choose both keys of a claim test from one shard

Once the time slot of the first key had passed, none could, and the loop has no await, so the test's time limit did not end it. Evidence: the debugger and /proc show that thread running in user space and all others waiting; the loop is read from the code. Change: both keys are drawn together, and a first key that finds no second is replaced. What is checked is the same.

--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -180,14 +180,25 @@
 /// A call's shard may belong to another entry that has read it before the partition,
 /// and whose write and read time out one after the other. Waiting for both and then for
 /// a read of its own took the called entry 3.1 to 3.4 s.
+/// Returns two keys of one shard that `owner` owns. The shard depends on the time of the
+/// key, so a shard that is fixed beforehand may get no further keys.
+fn two_keys_of_one_shard(owner: &str) -> (String, String) {
+    let (mut key, mut shard) = key_owned_by(owner);
+    loop {
+        for _ in 0..10_000 {
+            let (next_key, next_shard) = key_owned_by(owner);
+            if next_shard == shard {
+                return (key, next_key);
+            }
+        }
+        (key, shard) = key_owned_by(owner);
+    }
+}
+
 async fn check_claim_of_remote_owner(owner: &str) {
     let partitioned = PartitionedCluster::start().await;
-    let (key, shard) = key_owned_by(owner);
+    let (key, next_key) = two_keys_of_one_shard(owner);
     assert_eq!(partitioned.quote_with(0, &key).await.status, 200);
-    let (mut next_key, mut next_shard) = key_owned_by(owner);
-    while next_shard != shard {
-        (next_key, next_shard) = key_owned_by(owner);
-    }
     partitioned.set_fault(Fault::Freeze);
     let started = Instant::now();
     let refused = partitioned.quote_with(0, &next_key).await;
