Log a leaving upstream in one place, and simplify the count of engines

Cause: reading the change once more. The line that an upstream is leaving stood twice, and the one for news of the store lacked the request and the age of the list that OPERATIONS.md names. Both callers of the count of usable engines worked out the boot time of the service. A field named single did not say of what. Change: Node::log_leaving writes the line for the store, peers and responses. duty's fleet() takes the service. ResponseHead::plain marks a body that is declared as no stream of events. Behaviour is otherwise unchanged. Conclusion: no check, bound or expectation changed.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -120,7 +120,7 @@
         if self.node.uptime() < self.scaling_delay() {
             return Vec::new();
         }
-        let fleet = fleet(&self.node, &service.name, scaling.boot_time);
+        let fleet = fleet(&self.node, service);
         let busy = self
             .node
             .demand
@@ -162,13 +162,7 @@
             _ => scaler.record_refused(order, now),
         }
         let key = (order.domain.clone(), order.reclaimable);
-        let boot_time = service.scaling.as_ref().map(|scaling| scaling.boot_time);
-        let fleet = fleet(
-            &self.node,
-            &service.name,
-            boot_time.unwrap_or(Duration::MAX),
-        );
-        let ready = fleet.get(&key).copied();
+        let ready = fleet(&self.node, service).get(&key).copied();
         let busy = self
             .node
             .demand
@@ -220,12 +214,14 @@
 /// Returns the number of usable engines of a service by failure domain and by
 /// whether they are reclaimable. An engine that wants no requests until a new one could
 /// have started is not usable.
-fn fleet(node: &Node, service: &str, boot_time: Duration) -> Fleet {
+fn fleet(node: &Node, service: &Service) -> Fleet {
     let now = node.now();
+    let scaling = service.scaling.as_ref();
+    let boot_time = scaling.map_or(Duration::MAX, |scaling| scaling.boot_time);
     let directory = node.directory.borrow();
     let pauses = node.pauses.borrow();
     let mut fleet = Fleet::default();
-    for upstream in directory.of_service(service) {
+    for upstream in directory.of_service(&service.name) {
         let pause = pauses.get(&upstream.key, now);
         let paused = pause.is_some_and(|pause| pause.remaining(now) >= boot_time);
         if directory.is_usable(upstream) && !paused {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -309,20 +309,25 @@
     /// Marks an upstream as leaving. `request` is the request whose response says so,
     /// or `-`.
     pub(crate) fn mark_leaving(&self, key: &UpstreamKey, source: &str, request: &str) {
-        let now = self.now();
-        if self.directory.borrow_mut().mark_leaving(key, now) {
-            let read = self.upstreams_read.get();
-            let age = read.map(|at| now.saturating_duration_since(at));
-            log::info!(
-                target: "lycheehaven",
-                upstream = &*key.id, born = key.incarnation, source = source,
-                request = request,
-                list_age_ms = age.map_or(-1, |age| age.as_millis() as i64);
-                "upstream is leaving; it gets no new requests"
-            );
+        if self.directory.borrow_mut().mark_leaving(key, self.now()) {
+            self.log_leaving(key, source, request);
         }
     }
 
+    /// Logs that an upstream is newly known to be leaving, and the age of this entry's
+    /// list of upstreams.
+    pub(crate) fn log_leaving(&self, key: &UpstreamKey, source: &str, request: &str) {
+        let now = self.now();
+        let read = self.upstreams_read.get();
+        let age = read.map(|at| now.saturating_duration_since(at));
+        log::info!(
+            target: "lycheehaven",
+            upstream = &*key.id, born = key.incarnation, source = source, request = request,
+            list_age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+            "upstream is leaving; it gets no new requests"
+        );
+    }
+
     /// Whether an upstream may get new requests from this entry now.
     pub(crate) fn may_send_to(&self, key: &UpstreamKey) -> bool {
         self.directory.borrow().is_ready(key) && !self.is_paused(key)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -249,7 +249,7 @@
     if status.is_server_error() && may_retry(node, job, attempts) {
         return Err(format!("the upstream returned status {status}"));
     }
-    let streams = job.route.kind == RouteKind::Streaming && !upstream_response.head.single;
+    let streams = job.route.kind == RouteKind::Streaming && !upstream_response.head.plain;
     if streams && status.is_success() {
         return relay::start(node, job, upstream_response, attempts.delivered).await;
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -366,6 +366,6 @@
     let key = upstream.key.clone();
     let newly_leaving = node.directory.borrow_mut().update(upstream, now);
     if newly_leaving {
-        log::info!(target: "lycheehaven", upstream = &*key.id, born = key.incarnation, source = "store"; "upstream is leaving; it gets no new requests");
+        node.log_leaving(&key, "store", "-");
     }
 }
