Read the request rate that upstreams state, and log who hears it when

Cause: the incident's logs could not tell whether entries hear the limit that an engine states, keep it each for itself, or check it too early: no line names the engine, and nothing counts what is sent to it.

The new crate permits keeps which rate holds for which incarnation, by the order that send and read times prove; messages carry it to peers by age. Entries log the first hearing, each change and the end, with the request or the peer; a metric counts the requests sent to such upstreams. Nothing is sent or withheld differently.

Conclusion: the three hypotheses can be told apart.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -270,6 +270,12 @@
         upstream.state == UpstreamState::Ready && !self.leaving.contains_key(&upstream.key)
     }
 
+    /// Returns whether this incarnation is registered.
+    pub fn is_registered(&self, key: &UpstreamKey) -> bool {
+        let upstream = self.upstreams.get(&key.id);
+        upstream.is_some_and(|upstream| upstream.key == *key)
+    }
+
     /// Returns whether `key` is registered and may receive new requests.
     pub fn is_ready(&self, key: &UpstreamKey) -> bool {
         self.upstreams
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -24,6 +24,7 @@
 pub use directory::UpstreamKey;
 pub use directory::UpstreamState;
 pub use follower_liveness::FollowerLiveness;
+pub use news::select as select_news;
 pub use request::PromptPart;
 pub use request::TokenCount;
 pub use route::EngineSpec;
--- a/crates/catalog/src/news.rs
+++ b/crates/catalog/src/news.rs
@@ -11,7 +11,7 @@
 /// Returns the changes for the message number `turn`: all if they fit, else the newest
 /// and, in turn, a part of the others. So a new change is passed on at once, and each
 /// change repeatedly, however many there are.
-pub(crate) fn select<T: Ord + Clone>(mut changes: Vec<(Instant, T)>, turn: u64) -> Vec<T> {
+pub fn select<T: Ord + Clone>(mut changes: Vec<(Instant, T)>, turn: u64) -> Vec<T> {
     if changes.len() > MESSAGE_LIMIT {
         changes.sort_unstable_by(|a, b| (b.0, &b.1).cmp(&(a.0, &a.1)));
         let others = changes.split_off(NEWEST);
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -17,6 +17,7 @@
 use crate::message::decode_silent;
 use crate::node::LastReport;
 use crate::node::Node;
+use crate::permits;
 use crate::quarantine;
 
 /// Applies a message.
@@ -66,6 +67,7 @@
     for (key, revision) in &status.gone {
         node.mark_gone(key, *revision, from);
     }
+    permits::apply_reports(node, &status.rates, from);
     quarantine::apply_news(node, &status.news, from);
     if let Some(age) = status.holder_age {
         node.record_holder(Duration::from_millis(age), now);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -35,6 +35,7 @@
 
 use crate::node::Node;
 use crate::notice;
+use crate::permits;
 use crate::quarantine;
 use crate::quarantine::RunInfo;
 use crate::quarantine::TrialGuard;
@@ -242,6 +243,7 @@
         }
         let request = build_request(node, job, upstream, resume);
         node.metrics.sends.inc();
+        permits::log_send(node, &upstream.key, job.id());
         let run = RunInfo {
             sent: node.now(),
             is_trial: target.trial.is_some(),
@@ -423,7 +425,13 @@
     let status = upstream_response.response.status();
     let head = &upstream_response.head;
     let key = &upstream_response.upstream.key;
-    notice::apply(node, key, head.notice, job.id());
+    if let Some(notice) = &head.notice {
+        notice::apply(node, key, notice, job.id());
+        let is_own = head.id.is_some() && head.id == job.head.id;
+        let proves_end = is_own && (head.signed || head.not_run);
+        let sent = upstream_response.run.sent;
+        permits::record_stated(node, key, notice.rate, proves_end, sent, job.id());
+    }
     if let Some(load) = head.load {
         let observed = ObservedLoad {
             requests: load.running + load.waiting,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -224,6 +224,8 @@
     let mut pool = node.pool.borrow_mut();
     pool.sweep(|key| directory.is_ready(key), now);
     node.pauses.borrow_mut().prune(now);
+    let mut statements = node.statements.borrow_mut();
+    statements.prune(|key| directory.is_registered(key), now);
     let wall_ms = node.wall_millis();
     node.quarantine.borrow_mut().prune(wall_ms, now);
     let mut loads = node.loads.borrow_mut();
--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -297,8 +297,9 @@
         // The run had ended by itself.
         state.stopped.set(false);
     }
-    let notice = upstream::decode_notice(reply.status, &reply.headers);
-    notice::apply(node, &source.key, notice, state.job.id());
+    if let Some(notice) = upstream::decode_notice(reply.status, &reply.headers) {
+        notice::apply(node, &source.key, &notice, state.job.id());
+    }
     let cache = engine::decode_handle(&reply.body).map(|handle| KvSource {
         addr: source.addr,
         handle,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,9 @@
 //! run beside the requests: [`watch`] follows the platform's store, [`exchange`]
 //! sends this entry's counts to its peers ([`summary`] builds the messages and [`apply`]
 //! applies those of the peers), [`evacuate`] moves streams away from
-//! leaving engines, [`quarantine`] stops requests that crash upstreams, and [`duty`] reports usage and scales engines while this entry
-//! holds the lease.
+//! leaving engines, [`quarantine`] stops requests that crash upstreams, [`permits`]
+//! applies the request rates that upstreams state, and [`duty`] reports usage and scales
+//! engines while this entry holds the lease.
 
 mod admin;
 mod apply;
@@ -30,6 +31,7 @@
 mod node;
 mod notice;
 mod outage;
+mod permits;
 mod quarantine;
 mod relay;
 mod serve;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -6,6 +6,7 @@
 use lycheehaven_dispatch::LoadPart;
 use lycheehaven_duties::WindowCounts;
 use lycheehaven_guard::SpendingSum;
+use lycheehaven_permits::Report;
 use lycheehaven_quarantine::News;
 use lycheehaven_types::Name;
 use serde::Deserialize;
@@ -14,7 +15,7 @@
 use crate::confirm::Confirmation;
 
 /// Version of the message format.
-const FORMAT_VERSION: u8 = 5;
+const FORMAT_VERSION: u8 = 6;
 
 /// A periodic message of an entry. It also serves as heartbeat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -60,6 +61,8 @@
     pub(crate) leaving: Vec<UpstreamKey>,
     /// Upstreams whose registrations are missing, with the store's revision.
     pub(crate) gone: Vec<(UpstreamKey, u64)>,
+    /// Request rates that upstreams state.
+    pub(crate) rates: Vec<Report>,
     /// What is known of features of requests that crash upstreams.
     pub(crate) news: News,
     /// Milliseconds since a holder of the lease was last known, 0 if the sender
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     failures: Family<KindLabel, Counter>,
     latency: Histogram,
     pub(crate) sends: Counter,
+    pub(crate) limited_sends: Counter,
     pub(crate) connections: Counter,
     dropped_lines: Gauge,
     state: Family<NameLabel, Gauge>,
@@ -47,6 +48,7 @@
             failures: Family::default(),
             latency: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
             sends: Counter::default(),
+            limited_sends: Counter::default(),
             connections: Counter::default(),
             dropped_lines: Gauge::default(),
             state: Family::default(),
@@ -72,6 +74,11 @@
             self.latency.clone(),
         );
         registry.register("sends", "Requests sent to upstreams", self.sends.clone());
+        registry.register(
+            "limited_sends",
+            "Requests sent to upstreams that state a request rate",
+            self.limited_sends.clone(),
+        );
         registry.register(
             "connections",
             "Connections opened to upstreams",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,6 +23,7 @@
 use lycheehaven_guard::QuotaTracker;
 use lycheehaven_guard::RetryBudget;
 use lycheehaven_guard::RetryBudgetConfig;
+use lycheehaven_permits::Statements;
 use lycheehaven_quarantine::Quarantine;
 use lycheehaven_types::Clock;
 use lycheehaven_types::HashMap;
@@ -64,6 +65,8 @@
     pub(crate) last_reports: RefCell<HashMap<Name, LastReport>>,
     pub(crate) loads: RefCell<LoadTracker>,
     pub(crate) pauses: RefCell<Pauses>,
+    /// Request rates that upstreams state.
+    pub(crate) statements: RefCell<Statements>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) quotas: RefCell<QuotaTracker>,
     /// Quota units that callers requested in the last second, by workspace.
@@ -144,6 +147,7 @@
             last_reports: RefCell::default(),
             loads: RefCell::default(),
             pauses: RefCell::default(),
+            statements: RefCell::default(),
             pool: RefCell::default(),
             quotas: RefCell::new(quotas),
             requested_units: RefCell::new(FleetSums::new(REQUESTED_WINDOW)),
@@ -295,6 +299,10 @@
             ("open_requests", self.open_requests.get() as i64),
             ("ready", i64::from(self.is_ready())),
             ("upstreams_leaving", directory.leaving_count() as i64),
+            (
+                "upstreams_limited",
+                self.statements.borrow().limited().count() as i64,
+            ),
             ("upstreams_paused", self.pauses.borrow().count(now) as i64),
             ("upstreams_ready", ready as i64),
             (
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -8,7 +8,7 @@
 use crate::node::Node;
 
 /// Applies what the response to `request` says of the upstream that sent it.
-pub(crate) fn apply(node: &Node, upstream: &UpstreamKey, notice: Notice, request: &str) {
+pub(crate) fn apply(node: &Node, upstream: &UpstreamKey, notice: &Notice, request: &str) {
     if notice.leaving {
         node.mark_leaving(upstream, "response", request);
     }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod error;
 mod ids;
+mod request_rate;
 mod retry_after;
 mod revision;
 mod sliding_sum;
@@ -21,6 +22,8 @@
 pub use ids::Name;
 pub use ids::RequestId;
 pub use ids::rendezvous_order;
+pub use request_rate::RequestRate;
+pub use request_rate::StatedRate;
 pub use retry_after::MAX_PAUSE;
 pub use retry_after::RetryAfter;
 pub use revision::MAX_ERA;
