Send requests to an upstream that states a rate only with a permit of one issuer

Cause, and its class: a bound over all machines that no one entry can keep by itself. At 1 request a second and 7, 40 or 295 entries an even share is less than a request.

Change: the crate permits decides. One live entry of the upstream's failure domain, by rendezvous hash, issues permits at 0.95 of the rate and saves up 0.2 s of them at most; each write to the upstream, also a second one on a new connection, a retry, a moved or resumed stream, asks for one right before it is written. A new issuer begins with none. An issuer that reaches a part of the fleet issues that part of the rate, at most 1.25 of it in all parts together. No answer within 150 ms, or another view of who issues, means another upstream. A limit ends with a response without it whose request was sent after the last one with it had been read; peers are told both by age. While all upstreams of a service are limited, requests are refused at once, and callers return one after the other at the sum of the rates. An upstream that takes nothing gets a request every 4 s, which is how the end is heard.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -270,10 +270,10 @@
         upstream.state == UpstreamState::Ready && !self.leaving.contains_key(&upstream.key)
     }
 
-    /// Returns whether this incarnation is registered.
-    pub fn is_registered(&self, key: &UpstreamKey) -> bool {
+    /// Returns the registered upstream with this incarnation.
+    pub fn get(&self, key: &UpstreamKey) -> Option<&Upstream> {
         let upstream = self.upstreams.get(&key.id);
-        upstream.is_some_and(|upstream| upstream.key == *key)
+        upstream.filter(|upstream| upstream.key == *key)
     }
 
     /// Returns whether `key` is registered and may receive new requests.
--- a/crates/dispatch/tests/eligible_model.rs
+++ b/crates/dispatch/tests/eligible_model.rs
@@ -15,6 +15,7 @@
 use lycheehaven_dispatch::Query;
 use lycheehaven_dispatch::choose;
 use lycheehaven_dispatch::eligible;
+use lycheehaven_permits::Waits;
 use proptest::prelude::*;
 
 const SERVICE: &str = "llm";
@@ -161,7 +162,7 @@
                 .into_iter()
                 .filter(|key| history.may_be_chosen(key, now))
                 .collect();
-            match eligible(&directory, &pauses, SERVICE, &[], now) {
+            match eligible(&directory, &pauses, &Waits::default(), SERVICE, &[], now) {
                 Ok(candidates) => {
                     let tracker = LoadTracker::default();
                     let model = CostModel::default();
@@ -170,6 +171,7 @@
                     prop_assert!(history.may_be_chosen(chosen, now), "{chosen:?}");
                     prop_assert!(free.contains(&chosen));
                 }
+                Err(Ineligible::AllLimited(wait)) => prop_assert!(false, "no limit: {wait:?}"),
                 Err(Ineligible::NoneReady) => prop_assert!(history.ready().is_empty()),
                 Err(Ineligible::AllPaused(pause)) => {
                     prop_assert!(free.is_empty());
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -258,15 +258,29 @@
 
     /// Returns the number of other entries that are known to run.
     pub fn reachable_count(&self, now: Instant) -> usize {
+        let live = self.live(None, now);
+        live.iter().filter(|name| ***name != self.own_name).count()
+    }
+
+    /// Returns the entries of `domain`, or of the whole fleet, that are known to run, with
+    /// this one.
+    pub fn live(&self, domain: Option<&Name>, now: Instant) -> Vec<&Name> {
+        let is_live = |state: &MemberState| {
+            let alive = state.alive;
+            alive.is_some_and(|at| now.saturating_duration_since(at) < HEARTBEAT_TIMEOUT)
+        };
         self.states
             .iter()
-            .filter(|(name, state)| {
-                **name != self.own_name
-                    && state
-                        .alive
-                        .is_some_and(|at| now.saturating_duration_since(at) < HEARTBEAT_TIMEOUT)
-            })
-            .count()
+            .filter(|(_, state)| domain.is_none_or(|domain| state.member.domain == *domain))
+            .filter(|(name, state)| **name == self.own_name || is_live(state))
+            .map(|(name, _)| name)
+            .collect()
+    }
+
+    /// Returns the address of another entry for messages from peers.
+    pub fn address(&self, name: &Name) -> Option<SocketAddr> {
+        let state = self.states.get(name).filter(|_| *name != self.own_name);
+        state.map(|state| state.member.addr)
     }
 
     /// Returns the addresses of all other entries.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -194,6 +194,9 @@
     Responded(Box<UpstreamResponse>),
     /// The upstream could not be reached, or wants no requests; no byte was sent.
     Unreachable(String),
+    /// The upstream limits its requests, and there is no permit for this one for this
+    /// time; no byte was sent.
+    NoPermit(Duration),
     /// The upstream stated that it did not run the request.
     Refused(StatusCode),
     /// The request was sent and may have run, but there is no usable response.
@@ -210,7 +213,10 @@
     deadline: Instant,
 ) -> Outcome {
     let outcome = send_once(node, job, target, resume, deadline).await;
-    let has_not_run = matches!(outcome, Outcome::Unreachable(_) | Outcome::Refused(_));
+    let has_not_run = matches!(
+        outcome,
+        Outcome::Unreachable(_) | Outcome::NoPermit(_) | Outcome::Refused(_)
+    );
     if let Some(trial) = target.trial.as_ref().filter(|_| has_not_run) {
         trial.cancel();
     }
@@ -234,12 +240,16 @@
             Ok(connection) => connection,
             Err(cause) => return Outcome::Unreachable(cause),
         };
-        if !may_still_send(node, job, &upstream.key, resume) {
+        let permit = permits::acquire(node, upstream).await;
+        let may_send = may_still_send(node, job, &upstream.key, resume);
+        if permit.is_err() || !may_send {
             let now = node.now();
-            node.pool
-                .borrow_mut()
-                .put(&upstream.key, connection, DEFAULT_IDLE, now);
-            return Outcome::Unreachable("the request must not be sent to it any more".into());
+            let mut pool = node.pool.borrow_mut();
+            pool.put(&upstream.key, connection, DEFAULT_IDLE, now);
+            let withdrawn = "the request must not be sent to it any more";
+            return permit.map_or_else(Outcome::NoPermit, |()| {
+                Outcome::Unreachable(withdrawn.into())
+            });
         }
         let request = build_request(node, job, upstream, resume);
         node.metrics.sends.inc();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -90,6 +90,7 @@
     spawn_detached(watch::follow_members(node.clone()));
     spawn_detached(counts::load(node.clone()));
     spawn_detached(members::register(node.clone()));
+    node.set_peer_socket(peers.clone());
     spawn_detached(exchange::send_messages(node.clone(), peers.clone()));
     spawn_detached(exchange::receive_messages(node.clone(), peers));
     let lease = LeaseHandle::new(&node);
@@ -225,7 +226,10 @@
     pool.sweep(|key| directory.is_ready(key), now);
     node.pauses.borrow_mut().prune(now);
     let mut statements = node.statements.borrow_mut();
-    statements.prune(|key| directory.is_registered(key), now);
+    statements.prune(|key| directory.get(key).is_some(), now);
+    let mut issuer = node.issuer.borrow_mut();
+    issuer.prune(|key| statements.rate(key).is_some());
+    node.waits.borrow_mut().prune(now);
     let wall_ms = node.wall_millis();
     node.quarantine.borrow_mut().prune(wall_ms, now);
     let mut loads = node.loads.borrow_mut();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,8 +13,10 @@
 use lycheehaven_types::Name;
 
 use crate::apply;
+use crate::message::Datagram;
 use crate::message::Message;
 use crate::node::Node;
+use crate::permits;
 use crate::summary;
 
 /// Interval between messages, in milliseconds.
@@ -55,7 +57,7 @@
 
 async fn send_report(node: &Node, socket: &UdpSocket, peers: Vec<SocketAddr>, interval: u64) {
     if !peers.is_empty() {
-        send_to_all(socket, &summary::report(node, interval), &peers).await;
+        send_to_all(socket, summary::report(node, interval), &peers).await;
     }
 }
 
@@ -67,10 +69,11 @@
         return;
     }
     let message = summary::domain_sum(node, interval);
-    for domain in domains {
-        let peers = aggregators(node, &domain, interval);
-        send_to_all(socket, &message, &peers).await;
-    }
+    let peers: Vec<_> = domains
+        .iter()
+        .flat_map(|domain| aggregators(node, domain, interval))
+        .collect();
+    send_to_all(socket, message, &peers).await;
 }
 
 /// Sends each entry of this failure domain the sum over all other entries.
@@ -82,7 +85,7 @@
     };
     for (name, addr) in members {
         let message = summary::digest(node, &name, interval);
-        send_to_all(socket, &message, &[addr]).await;
+        send_to_all(socket, message, &[addr]).await;
     }
 }
 
@@ -92,15 +95,21 @@
     roster.aggregator_addresses(domain, probes, node.now())
 }
 
-async fn send_to_all(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
-    let mut bytes = message.encode();
+async fn send_to_all(socket: &UdpSocket, message: Message, peers: &[SocketAddr]) {
+    let mut bytes = Datagram::Message(Box::new(message)).encode();
     for peer in peers {
-        let sent = socket.send_to(bytes, *peer).await;
-        bytes = sent.1;
-        if let Err(cause) = sent.0 {
-            log::debug!(target: "lycheehaven", peer = peer.to_string().as_str(), cause = cause.to_string().as_str(); "can't send a datagram to a peer; dropping it");
-        }
+        bytes = send_to(socket, bytes, *peer).await;
+    }
+}
+
+/// Sends a datagram and returns its bytes. One that can't be sent is dropped, as the
+/// network may drop it as well.
+pub(crate) async fn send_to(socket: &UdpSocket, bytes: Vec<u8>, peer: SocketAddr) -> Vec<u8> {
+    let sent = socket.send_to(bytes, peer).await;
+    if let Err(cause) = sent.0 {
+        log::debug!(target: "lycheehaven", peer = peer.to_string().as_str(), cause = cause.to_string().as_str(); "can't send a datagram to a peer; dropping it");
     }
+    sent.1
 }
 
 /// Receives messages from peers and applies them.
@@ -111,8 +120,13 @@
         let result = socket.recv_from(buffer).await;
         buffer = result.1;
         match result.0 {
-            Ok(_) => match Message::decode(&buffer) {
-                Ok(Some(message)) => apply::message(&node, message),
+            Ok((_, sender)) => match Datagram::decode(&buffer) {
+                Ok(Some(Datagram::Message(message))) => apply::message(&node, *message),
+                Ok(Some(Datagram::Ask(ask))) => {
+                    let answer = Datagram::Answer(permits::handle_ask(&node, &ask));
+                    send_to(&socket, answer.encode(), sender).await;
+                }
+                Ok(Some(Datagram::Answer(answer))) => permits::handle_answer(&node, &answer),
                 Ok(None) => {}
                 Err(cause) => {
                     let cause = cause.to_string();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -6,6 +6,8 @@
 use lycheehaven_dispatch::LoadPart;
 use lycheehaven_duties::WindowCounts;
 use lycheehaven_guard::SpendingSum;
+use lycheehaven_permits::Answer;
+use lycheehaven_permits::Ask;
 use lycheehaven_permits::Report;
 use lycheehaven_quarantine::News;
 use lycheehaven_types::Name;
@@ -15,7 +17,18 @@
 use crate::confirm::Confirmation;
 
 /// Version of the message format.
-const FORMAT_VERSION: u8 = 6;
+const FORMAT_VERSION: u8 = 7;
+
+/// What one datagram between entries holds.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Datagram {
+    /// A periodic message.
+    Message(Box<Message>),
+    /// Asks the receiver for a permit to send a request to an upstream.
+    Ask(Ask),
+    /// Answers such an ask.
+    Answer(Answer),
+}
 
 /// A periodic message of an entry. It also serves as heartbeat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -90,19 +103,19 @@
     pub(crate) demand: Vec<(Name, f64)>,
 }
 
-impl Message {
-    /// Encodes the format version and the message as MessagePack.
+impl Datagram {
+    /// Encodes the format version and the content as MessagePack.
     pub(crate) fn encode(&self) -> Vec<u8> {
         rmp_serde::to_vec(&(FORMAT_VERSION, self)).expect("messages serialize to MessagePack")
     }
 
-    /// Decodes a message. Returns `None` if it has another format version.
+    /// Decodes a datagram. Returns `None` if it has another format version.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Option<Self>, rmp_serde::decode::Error> {
         // The version is the first element of an array of two.
         if bytes.get(1) != Some(&FORMAT_VERSION) {
             return Ok(None);
         }
-        rmp_serde::from_slice::<(u8, Self)>(bytes).map(|(_, message)| Some(message))
+        rmp_serde::from_slice::<(u8, Self)>(bytes).map(|(_, datagram)| Some(datagram))
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,11 +1,14 @@
 //! The state of an entry, shared by its loops and requests.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use compio::net::UdpSocket;
+use futures_channel::oneshot::Sender;
 use lycheehaven_catalog::ActiveConfig;
 use lycheehaven_catalog::Directory;
 use lycheehaven_catalog::FollowerLiveness;
@@ -23,7 +26,10 @@
 use lycheehaven_guard::QuotaTracker;
 use lycheehaven_guard::RetryBudget;
 use lycheehaven_guard::RetryBudgetConfig;
+use lycheehaven_permits::Issuer;
+use lycheehaven_permits::Returns;
 use lycheehaven_permits::Statements;
+use lycheehaven_permits::Waits;
 use lycheehaven_quarantine::Quarantine;
 use lycheehaven_types::Clock;
 use lycheehaven_types::HashMap;
@@ -67,6 +73,16 @@
     pub(crate) pauses: RefCell<Pauses>,
     /// Request rates that upstreams state.
     pub(crate) statements: RefCell<Statements>,
+    /// Permits that this entry issues for requests to them.
+    pub(crate) issuer: RefCell<Issuer>,
+    /// Upstreams for which there is no permit for a while.
+    pub(crate) waits: RefCell<Waits>,
+    /// Times at which callers return while all upstreams of a service limit requests.
+    pub(crate) returns: RefCell<Returns>,
+    /// Asks for permits that other entries have not answered yet.
+    pub(crate) open_asks: RefCell<HashMap<u64, Sender<Option<Duration>>>>,
+    /// Socket for messages to and from peers, once it is bound.
+    peer_socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) quotas: RefCell<QuotaTracker>,
     /// Quota units that callers requested in the last second, by workspace.
@@ -148,6 +164,11 @@
             loads: RefCell::default(),
             pauses: RefCell::default(),
             statements: RefCell::default(),
+            issuer: RefCell::default(),
+            waits: RefCell::default(),
+            returns: RefCell::default(),
+            open_asks: RefCell::default(),
+            peer_socket: OnceCell::new(),
             pool: RefCell::default(),
             quotas: RefCell::new(quotas),
             requested_units: RefCell::new(FleetSums::new(REQUESTED_WINDOW)),
@@ -179,6 +200,17 @@
         })
     }
 
+    /// Sets the socket for messages to and from peers.
+    pub(crate) fn set_peer_socket(&self, socket: Rc<UdpSocket>) {
+        let is_first = self.peer_socket.set(socket).is_ok();
+        debug_assert!(is_first, "the socket is bound once");
+    }
+
+    /// Returns the socket for messages to and from peers, once it is bound.
+    pub(crate) fn peer_socket(&self) -> Option<&Rc<UdpSocket>> {
+        self.peer_socket.get()
+    }
+
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
     }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,18 +1,36 @@
 //! Applies the request rates that upstreams state.
 //!
 //! [`lycheehaven_permits`] decides. This module tells it what responses and peers state,
-//! and logs each change.
+//! obtains and issues permits, and logs each change.
 
+use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
+use futures_channel::oneshot;
+use lycheehaven_catalog::Upstream;
 use lycheehaven_catalog::UpstreamKey;
+use lycheehaven_permits::Answer;
+use lycheehaven_permits::Ask;
+use lycheehaven_permits::PERMIT_LIFETIME;
 use lycheehaven_permits::Report;
 use lycheehaven_permits::Statement;
+use lycheehaven_permits::reachable_share;
+use lycheehaven_types::Name;
 use lycheehaven_types::RequestRate;
 use lycheehaven_types::StatedRate;
 
+use crate::exchange;
+use crate::message::Datagram;
 use crate::node::Node;
 
+/// Longest wait for the answer of the entry that issues permits.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time after which to ask again for a permit if the issuer does not answer, or is not
+/// the one in its own view.
+const ISSUER_WAIT: Duration = Duration::from_millis(250);
+
 /// Records what a response to `request`, sent at `sent`, states about the rate of
 /// requests to its sender. A response without a rate counts only if it `proves_end`: it
 /// is the upstream's own response to this request.
@@ -43,19 +61,19 @@
             "the request rate that an upstream states is unusable; another one is used"
         );
     }
-    log_change(node, upstream, "response", request);
+    apply_change(node, upstream, "response", request);
 }
 
 /// Applies what a peer reports.
 pub(crate) fn apply_reports(node: &Node, reports: &[Report], peer: &str) {
     let now = node.now();
     for report in reports {
-        if !node.directory.borrow().is_registered(&report.upstream) {
+        if node.directory.borrow().get(&report.upstream).is_none() {
             continue;
         }
         let changed = node.statements.borrow_mut().merge(report, now);
         if changed {
-            log_change(node, &report.upstream, peer, "-");
+            apply_change(node, &report.upstream, peer, "-");
         }
     }
 }
@@ -72,7 +90,130 @@
     }
 }
 
-fn log_change(node: &Node, upstream: &UpstreamKey, source: &str, request: &str) {
+/// Obtains a permit for one request to `upstream` if it limits its requests. The request
+/// must be written at once.
+///
+/// # Errors
+/// Returns the time after which there may be a permit.
+pub(crate) async fn acquire(node: &Rc<Node>, upstream: &Upstream) -> Result<(), Duration> {
+    let key = &upstream.key;
+    let Some(report) = limit_report(node, key) else {
+        return Ok(());
+    };
+    let asked = node.now();
+    let wait = match issuer_of(node, upstream, asked) {
+        Some(issuer) if issuer == node.settings.name => issue(node, key),
+        Some(issuer) => ask(node, &issuer, report).await,
+        None => Some(ISSUER_WAIT),
+    };
+    let now = node.now();
+    let is_late = now.saturating_duration_since(asked) > PERMIT_LIFETIME;
+    let wait = if is_late { Some(Duration::ZERO) } else { wait };
+    let Some(wait) = wait else {
+        return Ok(());
+    };
+    node.waits.borrow_mut().record(key, wait, now);
+    Err(wait)
+}
+
+/// Returns what is known of the limit of an upstream that has one.
+fn limit_report(node: &Node, upstream: &UpstreamKey) -> Option<Report> {
+    let statements = node.statements.borrow();
+    statements.rate(upstream)?;
+    statements.report(upstream, node.now())
+}
+
+/// Returns the entry that issues the permits of an upstream.
+fn issuer_of(node: &Node, upstream: &Upstream, now: Instant) -> Option<Name> {
+    let roster = node.roster.borrow();
+    let in_domain = roster.live(Some(&upstream.domain), now);
+    let live = roster.live(None, now);
+    lycheehaven_permits::issuer(&upstream.key, &in_domain, &live).cloned()
+}
+
+/// Issues a permit, or returns the time after which there may be one.
+fn issue(node: &Node, upstream: &UpstreamKey) -> Option<Duration> {
+    let now = node.now();
+    let rate = node.statements.borrow().rate(upstream)?;
+    let share = {
+        let roster = node.roster.borrow();
+        reachable_share(roster.reachable_count(now) + 1, roster.count())
+    };
+    let mut issuer = node.issuer.borrow_mut();
+    let issued = issuer.issue(upstream, rate, share, rand::random(), now);
+    issued.err()
+}
+
+/// Removes an ask that is no longer waited for.
+struct OpenAsk<'a> {
+    node: &'a Node,
+    number: u64,
+}
+
+impl Drop for OpenAsk<'_> {
+    fn drop(&mut self) {
+        self.node.open_asks.borrow_mut().remove(&self.number);
+    }
+}
+
+/// Asks `issuer` for a permit. Returns the time after which there may be one if it issues
+/// none, or does not answer.
+async fn ask(node: &Rc<Node>, issuer: &Name, report: Report) -> Option<Duration> {
+    let addr = node.roster.borrow().address(issuer);
+    let (Some(addr), Some(socket)) = (addr, node.peer_socket()) else {
+        return Some(ISSUER_WAIT);
+    };
+    let number = rand::random();
+    let (sender, receiver) = oneshot::channel();
+    node.open_asks.borrow_mut().insert(number, sender);
+    let _open = OpenAsk { node, number };
+    let ask = Ask {
+        number,
+        from: node.settings.name.clone(),
+        report,
+    };
+    exchange::send_to(socket, Datagram::Ask(ask).encode(), addr).await;
+    match compio::time::timeout(ASK_TIMEOUT, receiver).await {
+        Ok(Ok(wait)) => wait,
+        Ok(Err(_)) | Err(_) => Some(ISSUER_WAIT),
+    }
+}
+
+/// Answers a peer that asks for a permit.
+pub(crate) fn handle_ask(node: &Node, ask: &Ask) -> Answer {
+    let key = &ask.report.upstream;
+    apply_reports(node, std::slice::from_ref(&ask.report), &ask.from);
+    let now = node.now();
+    let upstream = node.directory.borrow().get(key).cloned();
+    let issuer = upstream.and_then(|upstream| issuer_of(node, &upstream, now));
+    // The peer knows other live entries or upstreams than this one.
+    let is_issuer = issuer.is_some_and(|issuer| issuer == node.settings.name);
+    let wait = if is_issuer {
+        issue(node, key)
+    } else {
+        Some(ISSUER_WAIT)
+    };
+    Answer {
+        number: ask.number,
+        wait_ms: wait.map(|wait| wait.as_millis() as u64 + 1),
+        report: node.statements.borrow().report(key, now),
+    }
+}
+
+/// Passes on the answer of a peer that was asked for a permit.
+pub(crate) fn handle_answer(node: &Node, answer: &Answer) {
+    if let Some(report) = &answer.report {
+        apply_reports(node, std::slice::from_ref(report), "issuer");
+    }
+    let asked = node.open_asks.borrow_mut().remove(&answer.number);
+    if let Some(sender) = asked {
+        // The request may have been dropped.
+        let _ = sender.send(answer.wait_ms.map(Duration::from_millis));
+    }
+}
+
+fn apply_change(node: &Node, upstream: &UpstreamKey, source: &str, request: &str) {
+    node.waits.borrow_mut().forget(upstream);
     let rate = node.statements.borrow().rate(upstream);
     let (id, born) = (&*upstream.id, upstream.incarnation);
     match rate.map(RequestRate::per_second) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -416,11 +416,29 @@
             last_event: self.last_event,
             kv_source: Some(kv_source),
         };
-        let outcome =
-            attempt::send(&self.node, &self.job, &target, &resume, self.job.deadline).await;
+        let outcome = self.send_permitted(&target, &resume).await;
         self.adopt_run(outcome)
     }
 
+    /// Sends the rest of a moved stream to the engine that holds its KV cache. If the
+    /// engine limits its requests, waits for a permit if that is soon enough.
+    async fn send_permitted(&self, target: &Target, resume: &ResumePoint) -> Outcome {
+        let began = self.node.now();
+        loop {
+            let deadline = self.job.deadline;
+            let outcome = attempt::send(&self.node, &self.job, target, resume, deadline).await;
+            let Outcome::NoPermit(wait) = outcome else {
+                return outcome;
+            };
+            let now = self.node.now();
+            let waited = now.saturating_duration_since(began) + wait;
+            if waited > MAX_PAUSE_WAIT.min(self.job.remaining(now)) {
+                return outcome;
+            }
+            compio::time::sleep(wait).await;
+        }
+    }
+
     /// Waits until the pause of an upstream ends that holds the stream's KV cache.
     /// Returns whether it ends soon enough.
     async fn wait_for_pause(&self, key: &UpstreamKey) -> bool {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,6 +21,8 @@
 use lycheehaven_quarantine::Progress;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
+use lycheehaven_types::Name;
+use lycheehaven_types::RequestRate;
 
 use crate::attempt;
 use crate::attempt::Job;
@@ -39,6 +41,9 @@
 /// Number of unreachable upstreams after which a request fails.
 const MAX_UNREACHABLE_UPSTREAMS: usize = 4;
 
+/// Number of permits that are asked for in vain after which a request is refused.
+const MAX_VAIN_ASKS: usize = 4;
+
 /// Time limit of one attempt for a request that may be repeated, as a multiple of
 /// the route's target latency.
 const TIMEOUT_FACTOR: u32 = 4;
@@ -65,6 +70,8 @@
     /// Attempts in which the request was sent.
     delivered: u32,
     unreachable: usize,
+    /// Asks for a permit that were refused.
+    vain_asks: usize,
     /// Why the last attempt that may have run the request failed.
     lost: Option<String>,
 }
@@ -87,6 +94,7 @@
                 }
             }
             Outcome::Unreachable(_) => attempts.unreachable += 1,
+            Outcome::NoPermit(_) => attempts.vain_asks += 1,
             Outcome::Refused(_) => attempts.delivered += 1,
             Outcome::Lost(cause) => {
                 attempts.delivered += 1;
@@ -132,7 +140,14 @@
             "too many of the attempted upstreams were unreachable",
         ));
     }
-    let mut target = pick_target(node, job, &attempts.tried, permission, now)?;
+    if attempts.vain_asks >= MAX_VAIN_ASKS {
+        return Err(limited(node, &job.service, Duration::ZERO, now));
+    }
+    let picked = pick_target(node, job, &attempts.tried, permission, now);
+    let mut target = picked.map_err(|failure| match attempts.vain_asks {
+        0 => failure,
+        _ => limited(node, &job.service, Duration::ZERO, now),
+    })?;
     if attempts.delivered > 0 {
         let members = node.roster.borrow().count();
         if !node
@@ -172,8 +187,31 @@
         .retry_after(NO_UPSTREAM_RETRY_AFTER.mul_f64(jitter))
 }
 
-fn ineligible_failure(ineligible: Ineligible, now: Instant) -> Failure {
+/// Returns the failure of a request that no upstream takes as they limit their requests.
+/// Callers return one after the other, as fast as the limits allow, and not before
+/// `first`.
+fn limited(node: &Node, service: &Name, first: Duration, now: Instant) -> Failure {
+    let directory = node.directory.borrow();
+    let statements = node.statements.borrow();
+    let rates = directory
+        .ready(service)
+        .filter_map(|upstream| statements.rate(&upstream.key));
+    let per_second: f64 = rates.map(RequestRate::per_second).sum();
+    let members = node.roster.borrow().count();
+    let mut returns = node.returns.borrow_mut();
+    let wait = returns.book(service, per_second / members as f64, first, now);
+    let message = "all upstreams of the service limit their requests and take no more now";
+    Failure::new(ErrorKind::Overloaded, message).retry_after(wait.max(MIN_RETRY_AFTER))
+}
+
+fn ineligible_failure(
+    node: &Node,
+    service: &Name,
+    ineligible: Ineligible,
+    now: Instant,
+) -> Failure {
     match ineligible {
+        Ineligible::AllLimited(first) => limited(node, service, first, now),
         Ineligible::NoneReady => no_upstream("no upstream of the service is ready"),
         Ineligible::AllPaused(pause) => {
             let message = "all upstreams of the service want no requests for a while";
@@ -193,8 +231,9 @@
 ) -> Result<Target, Failure> {
     let directory = node.directory.borrow();
     let pauses = node.pauses.borrow();
-    let candidates = eligible(&directory, &pauses, &job.service, tried, now)
-        .map_err(|ineligible| ineligible_failure(ineligible, now))?;
+    let waits = node.waits.borrow();
+    let candidates = eligible(&directory, &pauses, &waits, &job.service, tried, now)
+        .map_err(|ineligible| ineligible_failure(node, &job.service, ineligible, now))?;
     let catalog = node.config.borrow().catalog().cloned();
     let service = catalog
         .as_ref()
@@ -374,6 +413,15 @@
             return;
         }
         Outcome::Unreachable(cause) => ("unreachable", cause.clone()),
+        Outcome::NoPermit(wait) => {
+            log::debug!(
+                target: "lycheehaven",
+                request = job.id(), upstream = &*target.upstream.key.id,
+                wait_ms = wait.as_millis() as u64;
+                "there is no permit for a request to this upstream"
+            );
+            return;
+        }
         Outcome::Refused(status) => ("refused", status.to_string()),
         Outcome::Lost(cause) => ("lost", cause.clone()),
     };
--- a/crates/types/src/request_rate.rs
+++ b/crates/types/src/request_rate.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 
 /// Requests a second, from zero to [`RequestRate::MAX`].
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RequestRate(f64);
 
 impl RequestRate {
@@ -30,6 +30,12 @@
 
 impl Eq for RequestRate {}
 
+impl PartialOrd for RequestRate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 impl Ord for RequestRate {
     fn cmp(&self, other: &Self) -> Ordering {
         self.0.total_cmp(&other.0)
