--- a/crates/permits/src/issuer.rs
+++ b/crates/permits/src/issuer.rs
@@ -15,9 +15,13 @@
 /// rate allows in it.
 const RATE_FRACTION: f64 = 0.95;
 
-/// Time over which permits are saved up while nobody asks, at least one permit.
+/// Time over which permits are saved up while nobody asks.
 const SAVING_TIME: Duration = Duration::from_millis(200);
 
+/// Permits that are saved up at least. With one alone, the time until somebody asks for it
+/// would be lost.
+const MIN_SAVED: f64 = 1.5;
+
 /// Requests a second to an upstream that takes none or hardly any, so that the end of its
 /// limit is heard.
 const PROBE_RATE: f64 = 0.25;
@@ -78,7 +82,7 @@
     }
 
     fn fill(&mut self, per_second: f64, now: Instant) {
-        let most = (per_second * SAVING_TIME.as_secs_f64()).max(1.0);
+        let most = (per_second * SAVING_TIME.as_secs_f64()).max(MIN_SAVED);
         let elapsed = now.saturating_duration_since(self.filled);
         self.permits = (self.permits + per_second * elapsed.as_secs_f64()).min(most);
         self.filled = self.filled.max(now);
