Decide about permits in one type for both interfaces

Cause: the gateway put statements, issuer, waits and returns together by itself; the own interface would have done so a second time, and the model a third.

Change: Permits holds them and says what to do before a request is written: send, wait, or ask this entry. The gateway asks over its datagrams and follows; the model plays the same type. An ask in the model ends once, as in the gateway: before, its time limit also replaced the wait of an ask that had been answered.

Conclusion: nothing decides outside of the crate.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -225,11 +225,8 @@
     let mut pool = node.pool.borrow_mut();
     pool.sweep(|key| directory.is_ready(key), now);
     node.pauses.borrow_mut().prune(now);
-    let mut statements = node.statements.borrow_mut();
-    statements.prune(|key| directory.get(key).is_some(), now);
-    let mut issuer = node.issuer.borrow_mut();
-    issuer.prune(|key| statements.rate(key).is_some());
-    node.waits.borrow_mut().prune(now);
+    let mut permits = node.permits.borrow_mut();
+    permits.prune(|key| directory.get(key).is_some(), now);
     let wall_ms = node.wall_millis();
     node.quarantine.borrow_mut().prune(wall_ms, now);
     let mut loads = node.loads.borrow_mut();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,10 +26,7 @@
 use lycheehaven_guard::QuotaTracker;
 use lycheehaven_guard::RetryBudget;
 use lycheehaven_guard::RetryBudgetConfig;
-use lycheehaven_permits::Issuer;
-use lycheehaven_permits::Returns;
-use lycheehaven_permits::Statements;
-use lycheehaven_permits::Waits;
+use lycheehaven_permits::Permits;
 use lycheehaven_quarantine::Quarantine;
 use lycheehaven_types::Clock;
 use lycheehaven_types::HashMap;
@@ -71,14 +68,8 @@
     pub(crate) last_reports: RefCell<HashMap<Name, LastReport>>,
     pub(crate) loads: RefCell<LoadTracker>,
     pub(crate) pauses: RefCell<Pauses>,
-    /// Request rates that upstreams state.
-    pub(crate) statements: RefCell<Statements>,
-    /// Permits that this entry issues for requests to them.
-    pub(crate) issuer: RefCell<Issuer>,
-    /// Upstreams for which there is no permit for a while.
-    pub(crate) waits: RefCell<Waits>,
-    /// Times at which callers return while all upstreams of a service limit requests.
-    pub(crate) returns: RefCell<Returns>,
+    /// Request rates that upstreams state, and permits for requests to them.
+    pub(crate) permits: RefCell<Permits>,
     /// Asks for permits that other entries have not answered yet.
     pub(crate) open_asks: RefCell<HashMap<u64, Sender<Option<Duration>>>>,
     /// Socket for messages to and from peers, once it is bound.
@@ -163,10 +154,7 @@
             last_reports: RefCell::default(),
             loads: RefCell::default(),
             pauses: RefCell::default(),
-            statements: RefCell::default(),
-            issuer: RefCell::default(),
-            waits: RefCell::default(),
-            returns: RefCell::default(),
+            permits: RefCell::default(),
             open_asks: RefCell::default(),
             peer_socket: OnceCell::new(),
             pool: RefCell::default(),
@@ -333,7 +321,7 @@
             ("upstreams_leaving", directory.leaving_count() as i64),
             (
                 "upstreams_limited",
-                self.statements.borrow().limited().count() as i64,
+                self.permits.borrow().limited().count() as i64,
             ),
             ("upstreams_paused", self.pauses.borrow().count(now) as i64),
             ("upstreams_ready", ready as i64),
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -12,10 +12,11 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_permits::Answer;
 use lycheehaven_permits::Ask;
-use lycheehaven_permits::PERMIT_LIFETIME;
+use lycheehaven_permits::ISSUER_WAIT;
 use lycheehaven_permits::Report;
 use lycheehaven_permits::Statement;
-use lycheehaven_permits::reachable_share;
+use lycheehaven_permits::Step;
+use lycheehaven_permits::View;
 use lycheehaven_types::Name;
 use lycheehaven_types::RequestRate;
 use lycheehaven_types::StatedRate;
@@ -27,10 +28,6 @@
 /// Longest wait for the answer of the entry that issues permits.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time after which to ask again for a permit if the issuer does not answer, or is not
-/// the one in its own view.
-const ISSUER_WAIT: Duration = Duration::from_millis(250);
-
 /// Records what a response to `request`, sent at `sent`, states about the rate of
 /// requests to its sender. A response without a rate counts only if it `proves_end`: it
 /// is the upstream's own response to this request.
@@ -50,7 +47,7 @@
         sent,
         read: node.now(),
     };
-    let changed = node.statements.borrow_mut().record(upstream, statement);
+    let changed = node.permits.borrow_mut().record(upstream, statement);
     if !changed {
         return;
     }
@@ -71,7 +68,7 @@
         if node.directory.borrow().get(&report.upstream).is_none() {
             continue;
         }
-        let changed = node.statements.borrow_mut().merge(report, now);
+        let changed = node.permits.borrow_mut().merge(report, now);
         if changed {
             apply_change(node, &report.upstream, peer, "-");
         }
@@ -80,7 +77,7 @@
 
 /// Counts and logs a request that is written to an upstream that states a rate.
 pub(crate) fn log_send(node: &Node, upstream: &UpstreamKey, request: &str) {
-    if let Some(rate) = node.statements.borrow().rate(upstream) {
+    if let Some(rate) = node.permits.borrow().rate(upstream) {
         node.metrics.limited_sends.inc();
         log::debug!(
             target: "lycheehaven",
@@ -97,51 +94,36 @@
 /// Returns the time after which there may be a permit.
 pub(crate) async fn acquire(node: &Rc<Node>, upstream: &Upstream) -> Result<(), Duration> {
     let key = &upstream.key;
-    let Some(report) = limit_report(node, key) else {
-        return Ok(());
-    };
     let asked = node.now();
-    let wait = match issuer_of(node, upstream, asked) {
-        Some(issuer) if issuer == node.settings.name => issue(node, key),
-        Some(issuer) => ask(node, &issuer, report).await,
-        None => Some(ISSUER_WAIT),
+    let step = with_view(node, &upstream.domain, asked, |view| {
+        let mut permits = node.permits.borrow_mut();
+        permits.request(key, view, rand::random(), asked)
+    });
+    let (issuer, report) = match step {
+        Step::Send => return Ok(()),
+        Step::Wait(wait) => return Err(wait),
+        Step::Ask(issuer, report) => (issuer, report),
     };
+    let wait = ask(node, &issuer, report).await;
     let now = node.now();
-    let is_late = now.saturating_duration_since(asked) > PERMIT_LIFETIME;
-    let wait = if is_late { Some(Duration::ZERO) } else { wait };
-    let Some(wait) = wait else {
-        return Ok(());
-    };
-    node.waits.borrow_mut().record(key, wait, now);
-    Err(wait)
+    let mut permits = node.permits.borrow_mut();
+    permits.finish(key, asked, wait, now)
 }
 
-/// Returns what is known of the limit of an upstream that has one.
-fn limit_report(node: &Node, upstream: &UpstreamKey) -> Option<Report> {
-    let statements = node.statements.borrow();
-    statements.rate(upstream)?;
-    statements.report(upstream, node.now())
-}
-
-/// Returns the entry that issues the permits of an upstream.
-fn issuer_of(node: &Node, upstream: &Upstream, now: Instant) -> Option<Name> {
+/// Calls `decide` with the entries as this one sees them, for an upstream in `domain`.
+fn with_view<T>(
+    node: &Node,
+    domain: &Name,
+    now: Instant,
+    decide: impl FnOnce(&View<'_>) -> T,
+) -> T {
     let roster = node.roster.borrow();
-    let in_domain = roster.live(Some(&upstream.domain), now);
-    let live = roster.live(None, now);
-    lycheehaven_permits::issuer(&upstream.key, &in_domain, &live).cloned()
-}
-
-/// Issues a permit, or returns the time after which there may be one.
-fn issue(node: &Node, upstream: &UpstreamKey) -> Option<Duration> {
-    let now = node.now();
-    let rate = node.statements.borrow().rate(upstream)?;
-    let share = {
-        let roster = node.roster.borrow();
-        reachable_share(roster.reachable_count(now) + 1, roster.count())
-    };
-    let mut issuer = node.issuer.borrow_mut();
-    let issued = issuer.issue(upstream, rate, share, rand::random(), now);
-    issued.err()
+    decide(&View {
+        own: &node.settings.name,
+        in_domain: roster.live(Some(domain), now),
+        live: roster.live(None, now),
+        registered: roster.count(),
+    })
 }
 
 /// Removes an ask that is no longer waited for.
@@ -181,23 +163,16 @@
 
 /// Answers a peer that asks for a permit.
 pub(crate) fn handle_ask(node: &Node, ask: &Ask) -> Answer {
-    let key = &ask.report.upstream;
     apply_reports(node, std::slice::from_ref(&ask.report), &ask.from);
     let now = node.now();
-    let upstream = node.directory.borrow().get(key).cloned();
-    let issuer = upstream.and_then(|upstream| issuer_of(node, &upstream, now));
-    // The peer knows other live entries or upstreams than this one.
-    let is_issuer = issuer.is_some_and(|issuer| issuer == node.settings.name);
-    let wait = if is_issuer {
-        issue(node, key)
-    } else {
-        Some(ISSUER_WAIT)
+    let directory = node.directory.borrow();
+    let mut permits = node.permits.borrow_mut();
+    let Some(upstream) = directory.get(&ask.report.upstream) else {
+        return permits.answer(ask, None, rand::random(), now);
     };
-    Answer {
-        number: ask.number,
-        wait_ms: wait.map(|wait| wait.as_millis() as u64 + 1),
-        report: node.statements.borrow().report(key, now),
-    }
+    with_view(node, &upstream.domain, now, |view| {
+        permits.answer(ask, Some(view), rand::random(), now)
+    })
 }
 
 /// Passes on the answer of a peer that was asked for a permit.
@@ -213,8 +188,7 @@
 }
 
 fn apply_change(node: &Node, upstream: &UpstreamKey, source: &str, request: &str) {
-    node.waits.borrow_mut().forget(upstream);
-    let rate = node.statements.borrow().rate(upstream);
+    let rate = node.permits.borrow().rate(upstream);
     let (id, born) = (&*upstream.id, upstream.incarnation);
     match rate.map(RequestRate::per_second) {
         Some(rate) => log::info!(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,7 +22,6 @@
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
 use lycheehaven_types::Name;
-use lycheehaven_types::RequestRate;
 
 use crate::attempt;
 use crate::attempt::Job;
@@ -192,14 +191,10 @@
 /// `first`.
 fn limited(node: &Node, service: &Name, first: Duration, now: Instant) -> Failure {
     let directory = node.directory.borrow();
-    let statements = node.statements.borrow();
-    let rates = directory
-        .ready(service)
-        .filter_map(|upstream| statements.rate(&upstream.key));
-    let per_second: f64 = rates.map(RequestRate::per_second).sum();
-    let members = node.roster.borrow().count();
-    let mut returns = node.returns.borrow_mut();
-    let wait = returns.book(service, per_second / members as f64, first, now);
+    let upstreams = directory.ready(service).map(|upstream| &upstream.key);
+    let entries = node.roster.borrow().count();
+    let mut permits = node.permits.borrow_mut();
+    let wait = permits.book_return(service, upstreams, entries, first, now);
     let message = "all upstreams of the service limit their requests and take no more now";
     Failure::new(ErrorKind::Overloaded, message).retry_after(wait.max(MIN_RETRY_AFTER))
 }
@@ -231,9 +226,13 @@
 ) -> Result<Target, Failure> {
     let directory = node.directory.borrow();
     let pauses = node.pauses.borrow();
-    let waits = node.waits.borrow();
-    let candidates = eligible(&directory, &pauses, &waits, &job.service, tried, now)
-        .map_err(|ineligible| ineligible_failure(node, &job.service, ineligible, now))?;
+    let eligible = {
+        let permits = node.permits.borrow();
+        let waits = permits.waits();
+        eligible(&directory, &pauses, waits, &job.service, tried, now)
+    };
+    let candidates =
+        eligible.map_err(|ineligible| ineligible_failure(node, &job.service, ineligible, now))?;
     let catalog = node.config.borrow().catalog().cloned();
     let service = catalog
         .as_ref()
--- a/crates/gateway/src/summary.rs
+++ b/crates/gateway/src/summary.rs
@@ -120,7 +120,7 @@
         wall_ms,
         leaving: directory.leaving_news(interval, now),
         gone: directory.removed_news(interval, now),
-        rates: node.statements.borrow().news(interval, now),
+        rates: node.permits.borrow().news(interval, now),
         news,
         holder_age: node.holder_age(now).map(|age| age.as_millis() as u64),
         version: node.config.borrow().version().unwrap_or(0),
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -16,11 +16,13 @@
 //!    that other upstreams are chosen.
 //! 5. [`Returns`] spaces the times at which callers return if all upstreams wait.
 //!
-//! [`Ask`] and [`Answer`] are the messages. A permit that is lost on its way is spent, as
+//! [`Permits`] holds all of this at an entry, for both of its interfaces: they pass it what
+//! happens and do what [`Step`] says. [`Ask`] and [`Answer`] are the messages. A permit that is lost on its way is spent, as
 //! is one whose request breaks off: it may reach the upstream yet.
 
 mod issuer;
 mod message;
+mod permits;
 mod returns;
 mod statement;
 mod statements;
@@ -32,6 +34,10 @@
 pub use message::Answer;
 pub use message::Ask;
 pub use message::PERMIT_LIFETIME;
+pub use permits::ISSUER_WAIT;
+pub use permits::Permits;
+pub use permits::Step;
+pub use permits::View;
 pub use returns::Returns;
 pub use statement::Statement;
 pub use statements::Report;
--- a/crates/permits/tests/fleet/model.rs
+++ b/crates/permits/tests/fleet/model.rs
@@ -7,13 +7,14 @@
 use std::time::Instant;
 
 use lycheehaven_catalog::UpstreamKey;
-use lycheehaven_permits::Issuer;
+use lycheehaven_permits::Ask;
+use lycheehaven_permits::ISSUER_WAIT;
+use lycheehaven_permits::Permits;
 use lycheehaven_permits::Report;
 use lycheehaven_permits::Statement;
-use lycheehaven_permits::Statements;
-use lycheehaven_permits::Waits;
-use lycheehaven_permits::issuer;
-use lycheehaven_permits::reachable_share;
+use lycheehaven_permits::Step;
+use lycheehaven_permits::View;
+use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
 use lycheehaven_types::RequestRate;
 use rand::RngExt;
@@ -41,8 +42,6 @@
 
 const ASK_TIMEOUT: u64 = 150;
 
-const ISSUER_WAIT: u64 = 250;
-
 /// How entries share the rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Way {
@@ -206,10 +205,10 @@
 enum Event {
     /// A caller's request chooses the upstream at an entry.
     Request(usize),
-    /// The ask of the first entry reaches the second; it was sent at this time.
-    Ask(usize, usize, u64),
-    /// The answer to an ask sent at this time reaches the entry.
-    Answer(usize, Option<u64>, u64),
+    /// An ask of the first entry reaches the second.
+    Ask(usize, usize, AskNumber),
+    /// The answer to an ask reaches the entry.
+    Answer(usize, AskNumber, Option<u64>),
     /// The request of an entry reaches the upstream.
     Arrive(usize, u64),
     /// The response to a request sent at this time reaches the entry.
@@ -218,11 +217,13 @@
     Restart(usize),
 }
 
+type AskNumber = u64;
+
 #[derive(Default)]
 struct Entry {
-    statements: Statements,
-    waits: Waits,
-    issuer: Issuer,
+    permits: Permits,
+    /// When the asks that are not answered were sent.
+    open: HashMap<AskNumber, u64>,
     told: Option<u64>,
     /// Requests that the entry's own share allows, where it has one.
     share: f64,
@@ -311,8 +312,8 @@
     fn handle(&mut self, event: Event, now: u64) {
         match event {
             Event::Request(entry) => self.request(entry, now),
-            Event::Ask(from, to, asked) => self.ask(from, to, asked, now),
-            Event::Answer(entry, wait, asked) => self.answer(entry, wait, asked, now),
+            Event::Ask(from, to, number) => self.ask(from, to, number, now),
+            Event::Answer(entry, number, wait) => self.answer(entry, number, wait, now),
             Event::Arrive(entry, sent) => self.arrive(entry, sent, now),
             Event::Respond(entry, sent, rate) => self.respond(entry, sent, rate, now),
             Event::Exchange(entry) => self.exchange(entry, now),
@@ -324,36 +325,58 @@
         if self.fleet.is_paused(entry, now) {
             return;
         }
-        let at = self.time(now);
-        let state = &mut self.entries[entry];
-        let Some(rate) = state.statements.rate(&self.key) else {
-            return self.send(entry, now);
-        };
-        if self.fleet.way != Way::Permits {
+        let rate = self.entries[entry].permits.rate(&self.key);
+        if self.fleet.way != Way::Permits
+            && let Some(rate) = rate
+        {
             return self.request_by_share(entry, rate.per_second(), now);
         }
-        if !state.waits.remaining(&self.key, at).is_zero() {
-            return;
-        }
-        match self.issuer_for(entry, now) {
-            Some(issuer) if issuer == entry => {
-                let wait = self.issue(entry, now);
-                self.answer(entry, wait, now, now);
-            }
-            Some(issuer) => {
-                // The wait for the answer itself is over at its time limit.
-                self.push(
-                    now + ASK_TIMEOUT,
-                    Event::Answer(entry, Some(ISSUER_WAIT), now),
-                );
+        let step = self.with_view(entry, now, |permits, view, draw, at, key| {
+            permits.request(key, view, draw, at)
+        });
+        match step {
+            Step::Send => self.send(entry, now),
+            Step::Wait(_) => {}
+            Step::Ask(issuer, _) => {
+                let issuer = self.names.iter().position(|name| *name == issuer);
+                let issuer = issuer.expect("the issuer is an entry");
+                let number = self.events;
+                self.entries[entry].open.insert(number, now);
+                // Without an answer the ask ends at its time limit.
+                let wait = Some(ISSUER_WAIT.as_millis() as u64);
+                self.push(now + ASK_TIMEOUT, Event::Answer(entry, number, wait));
                 if let Some(arrives) = self.arrival(entry, issuer, now) {
-                    self.push(arrives, Event::Ask(entry, issuer, now));
+                    self.push(arrives, Event::Ask(entry, issuer, number));
                 }
             }
-            None => {}
         }
     }
 
+    /// Calls `decide` with the state of an entry and the fleet as it sees it.
+    fn with_view<T>(
+        &mut self,
+        entry: usize,
+        now: u64,
+        decide: impl FnOnce(&mut Permits, &View<'_>, f64, Instant, &UpstreamKey) -> T,
+    ) -> T {
+        let (fleet, names) = (self.fleet, &self.names);
+        let live = |entries: Vec<usize>| -> Vec<&Name> {
+            let live = entries
+                .into_iter()
+                .filter(|other| fleet.is_live(entry, *other, now));
+            live.map(|entry| &names[entry]).collect()
+        };
+        let view = View {
+            own: &names[entry],
+            in_domain: live(fleet.in_domain(0)),
+            live: live((0..fleet.entries).collect()),
+            registered: fleet.entries,
+        };
+        let at = self.start + Duration::from_millis(now);
+        let draw = self.rng.random();
+        decide(&mut self.entries[entry].permits, &view, draw, at, &self.key)
+    }
+
     fn request_by_share(&mut self, entry: usize, rate: f64, now: u64) {
         let window = WINDOW as f64 / 1000.0;
         let even = rate / self.fleet.entries as f64;
@@ -372,76 +395,52 @@
         }
     }
 
-    fn issuer_for(&self, entry: usize, now: u64) -> Option<usize> {
-        let live = |other: &usize| self.fleet.is_live(entry, *other, now);
-        let names = |entries: Vec<usize>| -> Vec<&Name> {
-            let live = entries.into_iter().filter(live);
-            live.map(|entry| &self.names[entry]).collect()
-        };
-        let in_domain = names(self.fleet.in_domain(0));
-        let all = match in_domain.is_empty() {
-            true => names((0..self.fleet.entries).collect()),
-            false => Vec::new(),
-        };
-        let chosen = issuer(&self.key, &in_domain, &all)?;
-        self.names.iter().position(|name| name == chosen)
-    }
-
-    fn issue(&mut self, entry: usize, now: u64) -> Option<u64> {
-        let fleet = self.fleet;
-        let live = (0..fleet.entries).filter(|other| fleet.is_live(entry, *other, now));
-        let share = reachable_share(live.count(), fleet.entries);
-        let at = self.time(now);
-        let draw = self.rng.random();
-        let state = &mut self.entries[entry];
-        let rate = state.statements.rate(&self.key)?;
-        let issued = state.issuer.issue(&self.key, rate, share, draw, at);
-        issued.err().map(|wait| wait.as_millis() as u64 + 1)
-    }
-
     fn report(&self, entry: usize, now: u64) -> Option<Report> {
-        let at = self.time(now);
-        self.entries[entry].statements.report(&self.key, at)
+        let news = self.entries[entry].permits.news(0, self.time(now));
+        news.into_iter().next()
     }
 
-    fn merge(&mut self, entry: usize, report: Option<Report>, now: u64) {
+    fn merge(&mut self, entry: usize, report: Option<&Report>, now: u64) {
         let at = self.time(now);
-        let Some(report) = report else {
-            return;
-        };
-        let state = &mut self.entries[entry];
-        if state.statements.merge(&report, at) {
-            state.waits.forget(&self.key);
+        if let Some(report) = report {
+            self.entries[entry].permits.merge(report, at);
         }
     }
 
-    fn ask(&mut self, from: usize, to: usize, asked: u64, now: u64) {
+    fn ask(&mut self, from: usize, to: usize, number: AskNumber, now: u64) {
         if self.fleet.is_paused(to, now) {
             return;
         }
-        let report = self.report(from, asked.max(now));
-        self.merge(to, report, now);
-        let wait = match self.issuer_for(to, now) {
-            Some(issuer) if issuer == to => self.issue(to, now),
-            _ => Some(ISSUER_WAIT),
+        // The asking entry may have restarted since.
+        let Some(report) = self.report(from, now) else {
+            return;
+        };
+        self.merge(to, Some(&report), now);
+        let ask = Ask {
+            number,
+            from: self.names[from].clone(),
+            report,
         };
+        let answer = self.with_view(to, now, |permits, view, draw, at, _| {
+            permits.answer(&ask, Some(view), draw, at)
+        });
         if let Some(arrives) = self.arrival(to, from, now) {
-            self.push(arrives, Event::Answer(from, wait, asked));
+            self.push(arrives, Event::Answer(from, number, answer.wait_ms));
         }
     }
 
-    fn answer(&mut self, entry: usize, wait: Option<u64>, asked: u64, now: u64) {
+    fn answer(&mut self, entry: usize, number: AskNumber, wait: Option<u64>, now: u64) {
         if self.fleet.is_paused(entry, now) {
             return;
         }
-        let at = self.time(now);
-        match wait {
-            None if now - asked <= ASK_TIMEOUT => self.send(entry, now),
-            None => {}
-            Some(wait) => {
-                let wait = Duration::from_millis(wait);
-                self.entries[entry].waits.record(&self.key, wait, at);
-            }
+        let Some(asked) = self.entries[entry].open.remove(&number) else {
+            return;
+        };
+        let (asked, at) = (self.time(asked), self.time(now));
+        let permits = &mut self.entries[entry].permits;
+        let wait = wait.map(Duration::from_millis);
+        if permits.finish(&self.key, asked, wait, at).is_ok() {
+            self.send(entry, now);
         }
     }
 
@@ -478,9 +477,7 @@
         if rate.is_some() {
             state.told.get_or_insert(now);
         }
-        if state.statements.record(&self.key, statement) {
-            state.waits.forget(&self.key);
-        }
+        state.permits.record(&self.key, statement);
     }
 
     fn exchange(&mut self, entry: usize, now: u64) {
@@ -489,7 +486,7 @@
             let peer = self.rng.random_range(0..self.fleet.entries);
             if self.arrival(peer, entry, now).is_some() {
                 let report = self.report(peer, now);
-                self.merge(entry, report, now);
+                self.merge(entry, report.as_ref(), now);
             }
         }
     }
