Keep to the rates that upstreams state on the own interface too

What upstreams saw: a plain service that took 2 calls a second of all entries got 73 in 4 s from three entries; one that took 1 a second, 135; a model engine, 132 streams.

The own interface had no word for a rate.

Change: an upstream states it in x-upstream-request-rate; calls of plain services, first attempts, repeats and the rest of moved streams need a permit by the same crate, asked for over the peers' HTTP interface. Exchange messages carry the rates. Requests are refused at once with a time to return while all upstreams of a service are limited. Operators list the limits with lycheectl limits, at both kinds of entries.

Conclusion: one crate decides for both doors.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -25,6 +25,7 @@
   status                          show the entry and its peers
   vms                             list VMs and their load
   drain                           stop the first entry after its open requests
+  limits                          list the request rates that upstreams state
   quarantine                      list what is suspected or known to crash upstreams
   quarantine lift FEATURE         let requests with this feature run again
   explain REQUEST                 show the decisions about a request
@@ -81,6 +82,7 @@
         ["status"] => show::status(&context(&matches)?).await,
         ["vms"] => show::vms(&context(&matches)?).await,
         ["drain"] => show::drain(&context(&matches)?).await,
+        ["limits"] => show::limits(&context(&matches)?).await,
         ["quarantine"] => show::quarantine(&context(&matches)?).await,
         ["quarantine", "lift", feature] => show::lift(&context(&matches)?, feature).await,
         ["explain", request] => show::explain(&context(&matches)?, request).await,
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -48,6 +48,16 @@
     Ok(ExitCode::Done)
 }
 
+pub(crate) async fn limits(context: &Context) -> Result<ExitCode, CtlError> {
+    let limits = context.client.get("/admin/limits").await?;
+    if context.json {
+        output::json(&limits);
+        return Ok(ExitCode::Done);
+    }
+    print_rows(&limits, &["upstream", "per_second", "stated_ms", "wait_ms"]);
+    Ok(ExitCode::Done)
+}
+
 pub(crate) async fn quarantine(context: &Context) -> Result<ExitCode, CtlError> {
     let features = context.client.get("/admin/quarantine").await?;
     if context.json {
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -20,6 +20,7 @@
 use crate::config_store;
 use crate::front::bearer;
 use crate::node::Node;
+use crate::permits;
 use crate::suspects;
 
 /// Largest body of a configuration patch, in bytes.
@@ -54,6 +55,7 @@
             node.drain_notify.notify_waiters();
             Ok(json_response(202, &json!({"draining": true})))
         }
+        (&Method::GET, "/admin/limits") => Ok(json_response(200, &permits::views(node))),
         (&Method::GET, "/admin/quarantine") => Ok(json_response(200, &suspects::views(node))),
         (&Method::POST, "/admin/quarantine/lift") => lift(node, request).await,
         (
@@ -62,6 +64,7 @@
             | "/admin/status"
             | "/admin/vms"
             | "/admin/drain"
+            | "/admin/limits"
             | "/admin/quarantine"
             | "/admin/quarantine/lift",
         ) => Err(Failure::new(
--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -13,6 +13,7 @@
 use lycheehaven_net::json_response;
 use lycheehaven_net::read_body;
 use lycheehaven_net::spawn_detached;
+use lycheehaven_routing::Closed;
 use lycheehaven_streams::Stream;
 use lycheehaven_types::Digest;
 use lycheehaven_types::ErrorKind;
@@ -26,6 +27,7 @@
 
 use crate::metrics::kind;
 use crate::node::Node;
+use crate::permits;
 use crate::record::Record;
 use crate::record::Request;
 use crate::record::Shape;
@@ -249,9 +251,10 @@
             format!("service {service} has no available upstream"),
         ));
     }
-    match upstreams.pause_left(service, node.now()) {
+    match upstreams.closed(service, node.now()) {
         None => Ok(()),
-        Some(pause) => {
+        Some(Closed::Limited(wait)) => Err(permits::limited(node, service, wait)),
+        Some(Closed::Paused(pause)) => {
             let message =
                 format!("all upstreams of service {service} want no requests for a while");
             let spread = PAUSE_SPREAD.mul_f64(node.random() as f64 / u64::MAX as f64);
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -15,6 +15,7 @@
 use crate::evacuate::NoticeOrigin;
 use crate::node::Node;
 use crate::peer_client;
+use crate::permits;
 use crate::suspects;
 use crate::watch::DEFAULT_NOTICE;
 use crate::watch::leaving_notice;
@@ -89,6 +90,7 @@
         } else {
             Vec::new()
         },
+        rates: node.permits.borrow().news(interval, now),
         news: node.quarantine.borrow_mut().news(interval, now),
     }
 }
@@ -124,6 +126,7 @@
             .borrow_mut()
             .update_load(&load.vm, load.incarnation, load_of(load));
     }
+    permits::apply_reports(node, &message.rates, &message.from.name);
     suspects::merge(node, &message.news, &message.from.name);
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,8 @@
 //!   `load` polls the engines;
 //! - `evacuate` moves streams off leaving upstreams, `replicate` copies records
 //!   to a peer, and `handover` transfers them to peers when this entry stops;
+//! - `suspects` stops requests that crash upstreams, and `permits` keeps to the request
+//!   rates that upstreams state;
 //! - `place` creates and configures the declared upstreams while this entry
 //!   holds the lease of its failure domain.
 
@@ -33,6 +35,7 @@
 mod notice;
 mod peer_api;
 mod peer_client;
+mod permits;
 mod place;
 mod plain;
 mod record;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_config::DeclaredConfig;
 use lycheehaven_config::RoutingPolicy;
 use lycheehaven_config::Settings;
@@ -19,6 +20,7 @@
 use lycheehaven_peers::MemberDigest;
 use lycheehaven_peers::Peers;
 use lycheehaven_peers::Timing;
+use lycheehaven_permits::Permits;
 use lycheehaven_platform::CloudApi;
 use lycheehaven_platform::ObjectApi;
 use lycheehaven_platform::Vm;
@@ -81,6 +83,8 @@
     pub(crate) demand_tracker: RefCell<DemandTracker>,
     pub(crate) limiter: RefCell<Limiter>,
     pub(crate) quarantine: RefCell<Quarantine>,
+    /// Request rates that upstreams state, and permits for requests to them.
+    pub(crate) permits: RefCell<Permits>,
     /// Number of messages sent to peers.
     pub(crate) messages: Cell<u64>,
     pub(crate) length_estimators: RefCell<HashMap<(Name, Name), LengthEstimator>>,
@@ -140,6 +144,7 @@
             demand_tracker: RefCell::default(),
             limiter: RefCell::new(Limiter::new(settings.streams.records as u32)),
             quarantine: RefCell::new(suspects::new_quarantine()),
+            permits: RefCell::default(),
             messages: Cell::new(0),
             length_estimators: RefCell::default(),
             records: RefCell::default(),
@@ -221,6 +226,12 @@
             upstream
         }));
         drop(leaving);
+        let upstreams = self.upstreams.borrow();
+        let is_listed = |key: &UpstreamKey| {
+            let upstream = upstreams.get(&key.id);
+            upstream.is_some_and(|upstream| upstream.id.incarnation.0 == key.incarnation)
+        };
+        self.permits.borrow_mut().prune(is_listed, now);
         self.vm_revision.set(revision);
         *self.vms.borrow_mut() = vms;
     }
--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use lycheehaven_types::Incarnation;
 use lycheehaven_types::Name;
@@ -11,19 +12,23 @@
 use crate::evacuate;
 use crate::evacuate::NoticeOrigin;
 use crate::node::Node;
+use crate::permits;
 use crate::watch::leaving_notice;
 
 /// Time until an upstream ends that says it is leaving, but not when.
 const ASSUMED_TIME_LEFT: Duration = Duration::from_secs(2);
 
-/// Applies the notice in a response to `request` of the upstream on `vm`.
+/// Applies the notice in a response of the upstream on `vm` to `request`, which was sent
+/// at `sent`.
 pub(crate) fn apply(
     node: &Rc<Node>,
     vm: &Name,
     incarnation: Incarnation,
     notice: UpstreamNotice,
+    sent: Instant,
     request: &str,
 ) {
+    permits::record_stated(node, vm, incarnation, notice.rate, sent, request);
     if notice.leaving && !node.leaving_vms.borrow().contains(vm, incarnation) {
         log::info!(target: "leaving", vm = &**vm, request = request; "an upstream states in a response that it is leaving");
         let notice = leaving_notice(vm, incarnation, ASSUMED_TIME_LEFT);
--- a/crates/entry/src/peer_api.rs
+++ b/crates/entry/src/peer_api.rs
@@ -14,6 +14,7 @@
 use lycheehaven_net::spawn_detached;
 use lycheehaven_peers::Exchange;
 use lycheehaven_peers::PROTOCOL_VERSION;
+use lycheehaven_permits::Ask;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
 use lycheehaven_types::Name;
@@ -28,6 +29,7 @@
 use crate::fetch;
 use crate::node::Node;
 use crate::node::PEER_KEY_HEADER;
+use crate::permits;
 use crate::plain;
 use crate::replicate;
 use crate::suspects;
@@ -110,6 +112,7 @@
         "/peer/claim_status" => Ok(encode(
             &plain::claim_status(node, decode::<ClaimQuery>(&body)?).await,
         )),
+        "/peer/permit" => Ok(encode(&permits::handle_ask(node, &decode::<Ask>(&body)?))),
         "/peer/suspect" => Ok(encode(&suspects::handle_report(
             node,
             &decode::<CrashReport>(&body)?,
--- a/crates/entry/src/peer_client.rs
+++ b/crates/entry/src/peer_client.rs
@@ -7,6 +7,8 @@
 use lycheehaven_net::CallError;
 use lycheehaven_net::HttpClient;
 use lycheehaven_peers::Exchange;
+use lycheehaven_permits::Answer;
+use lycheehaven_permits::Ask;
 use lycheehaven_types::Name;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -25,6 +27,9 @@
 /// Timeout of calls that a peer answers immediately.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Timeout of an ask for a permit.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Longest time for which a peer delays its answer about a claim whose call
 /// still runs there.
 pub(crate) const STATUS_POLL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -125,6 +130,16 @@
     .await
 }
 
+/// Asks a peer for a permit. The connection is kept, as there is an ask for each request
+/// to an upstream that limits its requests.
+pub(crate) async fn ask_permit(
+    node: &Node,
+    addr: SocketAddr,
+    ask: &Ask,
+) -> Result<Answer, CallError> {
+    post(&node.pooled_client, addr, "/peer/permit", ask, ASK_TIMEOUT).await
+}
+
 /// Returns the names and addresses of all live peers.
 pub(crate) fn live_addresses(node: &Node) -> Vec<(Name, SocketAddr)> {
     let peers = node.peers.borrow();
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -42,6 +42,7 @@
 use crate::node::Node;
 use crate::notice;
 use crate::peer_client;
+use crate::permits;
 use crate::record::ReaderGuard;
 use crate::record::Record;
 use crate::record::Request;
@@ -466,10 +467,25 @@
 ) -> Result<PlainResponse, RequestError> {
     let connect_timeout = Duration::from_millis(node.settings.timing.connect_ms);
     let silence_timeout = Duration::from_millis(node.settings.timing.silence_ms);
+    if permits::acquire(node, &target.vm, target.incarnation)
+        .await
+        .is_err()
+    {
+        let cause = "the upstream limits its requests and there is no permit for this one";
+        return Err(RequestError::NotSent(cause.into()));
+    }
+    let sent = node.now();
     match send_once(target.addr, call, connect_timeout, silence_timeout).await {
         Ok(reply) => {
             node.upstreams.borrow_mut().record_success(&target.vm);
-            notice::apply(node, &target.vm, target.incarnation, reply.notice, subject);
+            notice::apply(
+                node,
+                &target.vm,
+                target.incarnation,
+                reply.notice,
+                sent,
+                subject,
+            );
             Ok(reply.response)
         }
         Err(cause) => {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -28,6 +28,7 @@
 use crate::metrics::kind;
 use crate::node::Node;
 use crate::notice;
+use crate::permits;
 use crate::record::Record;
 use crate::suspects;
 
@@ -49,6 +50,8 @@
     /// Whether the request is a suspect, which must not share the upstream with
     /// another suspect.
     suspect: bool,
+    /// Whether the stream was moved there with its KV cache.
+    moved: bool,
 }
 
 /// Properties of the prompt that every attempt needs.
@@ -69,13 +72,29 @@
         if !wait_for_reader(&node, &record).await {
             return;
         }
-        if let Some(target) = choose_target(&node, &record, &prompt).await {
+        if let Some(target) = choose_target(&node, &record, &prompt).await
+            && is_permitted(&node, &target).await
+        {
             run_attempt(&node, &record, &prompt, &target).await;
         }
     }
     finish_record(&node, &record);
 }
 
+/// Obtains a permit for an attempt if its upstream limits its requests. Returns whether
+/// the attempt may begin.
+async fn is_permitted(node: &Rc<Node>, target: &Target) -> bool {
+    let (vm, incarnation) = (&target.vm, target.incarnation);
+    let permitted = match target.moved {
+        true => permits::acquire_for_move(node, vm, incarnation).await,
+        false => permits::acquire(node, vm, incarnation).await.is_ok(),
+    };
+    if !permitted && target.suspect {
+        node.upstreams.borrow_mut().remove_suspect(vm);
+    }
+    permitted
+}
+
 /// Waits while the limit of unread tokens is reached. Returns `false` if no
 /// reader came in time; the request has then failed.
 async fn wait_for_reader(node: &Node, record: &Record) -> bool {
@@ -105,7 +124,10 @@
     let redirect = record.redirect.borrow_mut().take();
     let target = redirect.and_then(|redirect| redirect.target);
     if let Some(target) = target.and_then(|vm| target_of(node, &vm, false)) {
-        return Some(target);
+        return Some(Target {
+            moved: true,
+            ..target
+        });
     }
     let suspect = match suspects::admission(node, record) {
         Admission::Pass => false,
@@ -195,6 +217,7 @@
         incarnation: upstream.id.incarnation,
         addr: upstream.addr,
         suspect,
+        moved: false,
     })
 }
 
@@ -437,7 +460,8 @@
 /// Applies what a response says of the upstream of an attempt.
 fn apply_notice(node: &Rc<Node>, record: &Record, target: &Target, notice: UpstreamNotice) {
     let request = record.request.id.as_str();
-    notice::apply(node, &target.vm, target.incarnation, notice, request);
+    let sent = record.attempted.get();
+    notice::apply(node, &target.vm, target.incarnation, notice, sent, request);
 }
 
 /// Records the loss of an upstream against the request, unless the upstream
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -28,6 +28,10 @@
 /// Handles one call. Any path that is not an operator's returns the metrics.
 pub(crate) async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
+        (&Method::GET, "/admin/limits") => {
+            let views = node.permits.borrow().views(node.now());
+            json_response(200, &views)
+        }
         (&Method::GET, "/admin/quarantine") => suspects(&node),
         (&Method::POST, "/admin/quarantine/lift") => match lift(&node, request).await {
             Ok(response) => response,
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use lycheehaven_permits::Report;
 use lycheehaven_quarantine::News;
 use lycheehaven_types::Incarnation;
 use lycheehaven_types::Name;
@@ -10,7 +11,7 @@
 
 /// Version of the message types. A message of another version is answered with
 /// an error and not merged.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// State of one entry, as known to the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -104,6 +105,8 @@
     /// The most recent upstream loads; empty if the receiver is in another
     /// failure domain.
     pub loads: Vec<LoadDigest>,
+    /// Request rates that upstreams state.
+    pub rates: Vec<Report>,
     /// What is known of features of requests that crash upstreams.
     pub news: News,
 }
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -35,6 +35,7 @@
 pub use message::Ask;
 pub use message::PERMIT_LIFETIME;
 pub use permits::ISSUER_WAIT;
+pub use permits::LimitView;
 pub use permits::Permits;
 pub use permits::Step;
 pub use permits::View;
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -6,6 +6,7 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_types::Name;
 use lycheehaven_types::RequestRate;
+use serde::Serialize;
 
 use crate::issuer::Issuer;
 use crate::issuer::issuer;
@@ -54,6 +55,21 @@
     Ask(Name, Report),
 }
 
+/// A limit as operators see it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct LimitView {
+    /// Id of the upstream.
+    pub upstream: Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Requests a second that it takes from all entries together.
+    pub per_second: Option<f64>,
+    /// Milliseconds since it stated the rate last.
+    pub stated_ms: u64,
+    /// Milliseconds for which this entry has no permit for a request to it.
+    pub wait_ms: u64,
+}
+
 /// Rates that upstreams state, and the permits for requests to them.
 #[derive(Debug, Default)]
 pub struct Permits {
@@ -98,6 +114,22 @@
         self.statements.limited()
     }
 
+    /// Returns the limits that hold, for operators.
+    pub fn views(&self, now: Instant) -> Vec<LimitView> {
+        let mut views: Vec<LimitView> = self
+            .limited()
+            .map(|(upstream, statement)| LimitView {
+                upstream: upstream.id.clone(),
+                incarnation: upstream.incarnation,
+                per_second: statement.rate.map(RequestRate::per_second),
+                stated_ms: now.saturating_duration_since(statement.read).as_millis() as u64,
+                wait_ms: self.waits.remaining(upstream, now).as_millis() as u64,
+            })
+            .collect();
+        views.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+        views
+    }
+
     /// Returns the upstreams that take no request for a while.
     pub fn waits(&self) -> &Waits {
         &self.waits
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub use choose::Query;
 pub use choose::Reason;
 pub use choose::Rules;
+pub use table::Closed;
 pub use table::Load;
 pub use table::Table;
 pub use table::Upstream;
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -48,6 +48,15 @@
     pub link_rate: f32,
 }
 
+/// Why no upstream of a service takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// All want no requests. The first pause ends after this time.
+    Paused(Duration),
+    /// All want no requests, or limit them. The first permit may be had after this time.
+    Limited(Duration),
+}
+
 /// State of an upstream.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -74,6 +83,8 @@
     pub(crate) backoff: Duration,
     /// End of the time for which the upstream wants no requests.
     pub(crate) paused_until: Option<Instant>,
+    /// End of the time for which there is no permit for a request to it.
+    pub(crate) permit_at: Option<Instant>,
     pub(crate) prefixes: HashSet<u64>,
 }
 
@@ -104,13 +115,18 @@
             retry_at: None,
             backoff: INITIAL_BACKOFF,
             paused_until: None,
+            permit_at: None,
             prefixes: HashSet::default(),
         }
     }
 
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
         let is_in_backoff = self.retry_at.is_some_and(|time| now < time);
-        !self.leaving && !is_in_backoff && !self.is_paused(now)
+        !self.leaving && !is_in_backoff && !self.is_paused(now) && !self.awaits_permit(now)
+    }
+
+    fn awaits_permit(&self, now: Instant) -> bool {
+        self.permit_at.is_some_and(|at| now < at)
     }
 
     fn is_paused(&self, now: Instant) -> bool {
@@ -195,20 +211,42 @@
         changed
     }
 
-    /// Returns the time until the first pause ends if all upstreams of `service` that are
-    /// not leaving pause.
-    pub fn pause_left(&self, service: &str, now: Instant) -> Option<Duration> {
-        let staying = || {
-            self.iter()
-                .filter(|upstream| &*upstream.service == service && !upstream.leaving)
-        };
-        if !staying().all(|upstream| upstream.is_paused(now)) {
+    /// Sets until when there is no permit for a request to an incarnation.
+    pub fn set_permit_wait(
+        &mut self,
+        name: &str,
+        incarnation: Incarnation,
+        until: Option<Instant>,
+    ) {
+        let upstream = self.upstreams.get_mut(name);
+        if let Some(upstream) = upstream.filter(|it| it.id.incarnation == incarnation) {
+            upstream.permit_at = until;
+        }
+    }
+
+    /// Returns why none of the upstreams of `service` that are not leaving takes a request
+    /// now, if each pauses or has no permit.
+    pub fn closed(&self, service: &str, now: Instant) -> Option<Closed> {
+        let staying: Vec<&Upstream> = self
+            .iter()
+            .filter(|upstream| &*upstream.service == service && !upstream.leaving)
+            .collect();
+        let is_closed =
+            |upstream: &&Upstream| upstream.is_paused(now) || upstream.awaits_permit(now);
+        if !staying.iter().all(is_closed) {
             return None;
         }
-        let first = staying()
+        let limited = staying
+            .iter()
+            .filter(|upstream| upstream.awaits_permit(now));
+        if let Some(first) = limited.filter_map(|upstream| upstream.permit_at).min() {
+            return Some(Closed::Limited(first.saturating_duration_since(now)));
+        }
+        let first = staying
+            .iter()
             .filter_map(|upstream| upstream.paused_until)
             .min()?;
-        Some(first.saturating_duration_since(now))
+        Some(Closed::Paused(first.saturating_duration_since(now)))
     }
 
     /// Records a load report of `incarnation` unless a later one is known.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -16,4 +16,5 @@
 pub use engine::Refusal;
 pub use engine::StreamError;
 pub use notice::LEAVING_HEADER;
+pub use notice::RATE_HEADER;
 pub use notice::UpstreamNotice;
--- a/examples/capacity/gossip.rs
+++ b/examples/capacity/gossip.rs
@@ -240,6 +240,7 @@
         } else {
             Vec::new()
         },
+        rates: Vec::new(),
         news: News::default(),
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod raw_engine;
 mod raw_input;
 mod reclaim;
+mod request_rate;
 mod seeded;
 mod stop;
 mod support;
