Divide connections to an upstream among the entries without rounding up

Cause: a bound over all entries that each keeps by itself. An entry's part of the connections that an upstream takes was an even share, but at least one: 295 entries before an upstream that takes 100 would open 295.

Change: whole units are dealt out, beginning at an entry that differs between upstreams; the parts add up to the bound exactly. An entry without a connection to one upstream uses others.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -142,6 +142,15 @@
         self.states.len().max(1)
     }
 
+    /// Returns the place of this entry among all in the order of their names, the same at
+    /// every entry with the same registrations.
+    pub fn index(&self) -> usize {
+        self.states
+            .keys()
+            .filter(|name| **name < self.own_name)
+            .count()
+    }
+
     /// Whether this entry is registered with `incarnation`.
     pub fn is_registered(&self, incarnation: u64) -> bool {
         self.states
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,6 +18,7 @@
 use lycheehaven_net::Body;
 use lycheehaven_net::Framing;
 use lycheehaven_net::read_body;
+use lycheehaven_permits::units_of;
 use lycheehaven_quarantine::Progress;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
@@ -237,9 +238,11 @@
     let service = catalog
         .as_ref()
         .and_then(|catalog| catalog.services.get(&job.service));
-    let members = node.roster.borrow().count();
+    let (index, entries) = {
+        let roster = node.roster.borrow();
+        (roster.index(), roster.count())
+    };
     let max_connections = service.map_or(usize::MAX, |service| service.max_connections);
-    let connection_limit = (max_connections / members).max(1);
     let trial = (permission == Permission::Trial).then(|| TrialQuery {
         excluded: node.quarantine.borrow().trial_upstreams(now),
         wall_ms: node.wall_millis(),
@@ -257,9 +260,11 @@
         sample: (node.role.get() != Role::Mesh).then_some(SAMPLED_UPSTREAMS),
     };
     let mut pool = node.pool.borrow_mut();
-    let available = candidates
-        .into_iter()
-        .filter(|upstream| pool.connection_count(&upstream.key).get() < connection_limit);
+    let available = candidates.into_iter().filter(|upstream| {
+        let key = &upstream.key;
+        let limit = units_of(max_connections, key, index, entries);
+        pool.connection_count(key).get() < limit
+    });
     let loads = node.loads.borrow();
     let choice = choose(available, &query, &loads, &node.cost_model, now)
         .ok_or_else(|| no_upstream("all upstreams of the service are excluded after failures"))?;
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -16,6 +16,9 @@
 //!    that other upstreams are chosen.
 //! 5. [`Returns`] spaces the times at which callers return if all upstreams wait.
 //!
+//! Bounds of whole units that are held for some time, as connections to an upstream, are
+//! divided by [`units_of`].
+//!
 //! [`Permits`] holds all of this at an entry, for both of its interfaces: they pass it what
 //! happens and do what [`Step`] says. [`Ask`] and [`Answer`] are the messages. A permit that is lost on its way is spent, as
 //! is one whose request breaks off: it may reach the upstream yet.
@@ -26,6 +29,7 @@
 mod returns;
 mod statement;
 mod statements;
+mod units;
 mod waits;
 
 pub use issuer::Issuer;
@@ -43,4 +47,5 @@
 pub use statement::Statement;
 pub use statements::Report;
 pub use statements::Statements;
+pub use units::units_of;
 pub use waits::Waits;
