Count an engine that limits its requests for what they keep busy when scaling

Cause: an engine that takes one request a second counted like any other when engines are ordered, so a service whose engines are in need would not get new ones.

Change: an engine whose limit leaves less than half of it usable does not count.

Figures: at 200 ms a request, 1 a second leaves 0.2 of an engine, 4 leave 0.8.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -211,20 +211,30 @@
     }
 }
 
+/// Smallest part of an engine that its limit has to leave for it to count.
+const MIN_USABLE_PART: f64 = 0.5;
+
 /// Returns the number of usable engines of a service by failure domain and by
 /// whether they are reclaimable. An engine that wants no requests until a new one could
-/// have started is not usable.
+/// have started is not usable, nor is one that limits its requests to less than half of
+/// what keeps it busy.
 fn fleet(node: &Node, service: &Service) -> Fleet {
     let now = node.now();
     let scaling = service.scaling.as_ref();
     let boot_time = scaling.map_or(Duration::MAX, |scaling| scaling.boot_time);
     let directory = node.directory.borrow();
     let pauses = node.pauses.borrow();
+    let permits = node.permits.borrow();
+    let mut demand = node.demand.borrow_mut();
     let mut fleet = Fleet::default();
     for upstream in directory.of_service(&service.name) {
         let pause = pauses.get(&upstream.key, now);
         let paused = pause.is_some_and(|pause| pause.remaining(now) >= boot_time);
-        if directory.is_usable(upstream) && !paused {
+        let rate = permits.rate(&upstream.key);
+        let limited = rate.is_some_and(|rate| {
+            demand.usable_part(&service.name, rate.per_second(), now) < MIN_USABLE_PART
+        });
+        if directory.is_usable(upstream) && !paused && !limited {
             let key = (upstream.domain.clone(), upstream.reclaimable);
             *fleet.entry(key).or_default() += 1;
         }
