--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,6 +18,7 @@
 mod raw_server;
 mod server;
 mod service;
+mod window;
 
 pub use client::Client;
 pub use client::Received;
@@ -50,3 +51,4 @@
 pub use service::Call;
 pub use service::PlainService;
 pub use service::ServiceState;
+pub use window::most_in_window;
--- a/tests/all/request_rate.rs
+++ b/tests/all/request_rate.rs
@@ -7,19 +7,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hyper::Method;
 use lycheehaven_net::Reply;
 use lycheehaven_standins::Cluster;
 use lycheehaven_standins::RawRequest;
 use lycheehaven_standins::RawServer;
+use lycheehaven_standins::most_in_window;
 use lycheehaven_upstream::RATE_HEADER;
+use serde_json::Value;
 
 use crate::raw_engine;
 use crate::raw_engine::is_completion;
 use crate::raw_engine::respond_as_engine;
 use crate::support::DAEMON;
 use crate::support::client;
+use crate::support::look_up;
 use crate::support::run;
+use crate::tools::ctl;
 
 /// Time in which entries learn of a rate, from the first response with it on.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -51,28 +54,12 @@
     (server, arrivals)
 }
 
-fn most_in_window(times: &[Instant]) -> usize {
-    let in_window = |first: &Instant| {
-        let window = times.iter().filter(|at| *at >= first);
-        window.filter(|at| **at < *first + WINDOW).count()
-    };
-    times.iter().map(in_window).max().unwrap_or(0)
-}
-
 /// Returns when requests arrived from `from` on.
 fn since(arrivals: &Arrivals, from: Instant) -> Vec<Instant> {
     let arrivals = arrivals.lock().expect("the lock is not poisoned");
     arrivals.iter().copied().filter(|at| *at >= from).collect()
 }
 
-async fn look_up(cluster: &Cluster, entry: usize) -> Reply {
-    let addr = cluster.entries[entry].listen;
-    client()
-        .call(addr, Method::GET, "hinnalaud/price/1", None, "")
-        .await
-        .unwrap()
-}
-
 /// Calls all entries in turn for `duration` and returns the replies.
 async fn look_up_for(cluster: &Cluster, duration: Duration) -> Vec<Reply> {
     let began = Instant::now();
@@ -112,12 +99,16 @@
         let from = Instant::now();
         let replies = look_up_for(&cluster, COUNTED).await;
         let arrivals = since(&arrivals, from);
-        let most = most_in_window(&arrivals) as f64;
+        let most = most_in_window(&arrivals, WINDOW) as f64;
         let allowed = RATE * WINDOW.as_secs_f64() + MAX_EXCESS;
         assert!(most <= allowed, "{most} calls of {allowed} in a window");
         let least = 0.8 * RATE * COUNTED.as_secs_f64() - 1.0;
         assert!(arrivals.len() as f64 >= least, "{} calls", arrivals.len());
         assert!(replies.iter().all(|reply| reply.status == 200));
+        let listed = ctl(&cluster, &["--json", "limits"]);
+        let limits: Value = serde_json::from_slice(&listed.stdout).unwrap();
+        assert_eq!(limits[0]["upstream"], "raw-0", "{listed:?}");
+        assert_eq!(limits[0]["per_second"], RATE, "{listed:?}");
     });
 }
 
@@ -129,7 +120,7 @@
         look_up_for(&cluster, CONTACT_TIME).await;
         let from = Instant::now();
         let replies = look_up_for(&cluster, WINDOW).await;
-        let most = most_in_window(&since(&arrivals, from));
+        let most = most_in_window(&since(&arrivals, from), WINDOW);
         assert!(most <= 6, "{most} calls in a window");
         let refused: Vec<&Reply> = replies.iter().filter(|it| it.status != 200).collect();
         assert!(refused.len() > 20, "{} refused", refused.len());
@@ -160,7 +151,7 @@
             let _ = client().complete(addr, "chair len=5").await;
             compio::time::sleep(INTERVAL).await;
         }
-        let most = most_in_window(&since(&arrivals, began + CONTACT_TIME));
+        let most = most_in_window(&since(&arrivals, began + CONTACT_TIME), WINDOW);
         assert!(most <= 6, "{most} streams in a window");
         assert!(most >= 3, "{most} streams in a window");
     });
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use hyper::Method;
+use lycheehaven_net::Reply;
 use lycheehaven_standins::Client;
 use lycheehaven_standins::Cluster;
 use lycheehaven_standins::EngineParams;
@@ -56,3 +58,12 @@
     let engines = [("engine-1", "arima")];
     cluster("", &entries, &engines, EngineParams::default()).await
 }
+
+/// Calls the plain service through an entry.
+pub(crate) async fn look_up(cluster: &Cluster, entry: usize) -> Reply {
+    let addr = cluster.entries[entry].listen;
+    client()
+        .call(addr, Method::GET, "hinnalaud/price/1", None, "")
+        .await
+        .unwrap()
+}
--- a/tests/all/upstream_notice.rs
+++ b/tests/all/upstream_notice.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hyper::Method;
-use lycheehaven_net::Reply;
 use lycheehaven_standins::Cluster;
 use lycheehaven_standins::RawRequest;
 use lycheehaven_standins::RawServer;
@@ -22,6 +20,7 @@
 use crate::raw_engine::respond_as_engine;
 use crate::support::DAEMON;
 use crate::support::client;
+use crate::support::look_up;
 use crate::support::run;
 
 /// Starts entries whose only upstreams of the plain service are `servers`.
@@ -58,14 +57,6 @@
     })
 }
 
-async fn look_up(cluster: &Cluster, entry: usize) -> Reply {
-    let addr = cluster.entries[entry].listen;
-    client()
-        .call(addr, Method::GET, "hinnalaud/price/1", None, "")
-        .await
-        .unwrap()
-}
-
 #[test]
 fn upstream_that_says_it_leaves_gets_no_more_calls_of_any_entry() {
     let active = Arc::new(AtomicBool::new(true));
