Tell callers of the own interface when to return if limits refuse their call

Change: such a call gets the failure of the limits with its place in the order of return; a stream that has not begun fails as soon as the next permit is known to come too late.

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -139,7 +139,7 @@
     service: &Name,
     call: &PlainCall,
 ) -> Result<PlainResponse, Failure> {
-    let mut last = Failure::new(ErrorKind::NoUpstream, "the service has no usable upstream");
+    let mut lost = None;
     for _ in 0..UPSTREAM_ATTEMPTS {
         let Some(target) = choose(node, service, "call") else {
             break;
@@ -148,11 +148,20 @@
             Ok(answer) => return Ok(answer),
             Err(RequestError::NotSent(_)) => {}
             Err(RequestError::Uncertain(cause)) => {
-                last = Failure::new(ErrorKind::UpstreamLost, cause);
+                lost = Some(Failure::new(ErrorKind::UpstreamLost, cause));
             }
         }
     }
-    Err(last)
+    Err(lost.unwrap_or_else(|| unavailable(node, service)))
+}
+
+/// Returns the failure of a call that was sent to no upstream, with the time to return if
+/// they all want or take no requests now.
+fn unavailable(node: &Node, service: &str) -> Failure {
+    let message = "no upstream of the service accepted the call";
+    complete::check_available(node, service)
+        .err()
+        .unwrap_or_else(|| Failure::new(ErrorKind::NoUpstream, message))
 }
 
 fn accept_once(
@@ -309,10 +318,7 @@
     node.claim_shards.unmark_sent(claim.nonce);
     node.claim_shards.end(claim.nonce);
     release_claim(node, once.shard, claim).await;
-    Err(Failure::new(
-        ErrorKind::NoUpstream,
-        "no upstream of the service accepted a connection",
-    ))
+    Err(unavailable(node, &record.request.service))
 }
 
 /// Records in the claim shard that the request of a claim of this entry was not
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -9,6 +9,7 @@
 use lycheehaven_net::sleep_ms;
 use lycheehaven_quarantine::Admission;
 use lycheehaven_quarantine::Progress;
+use lycheehaven_routing::Closed;
 use lycheehaven_routing::Query;
 use lycheehaven_streams::Event;
 use lycheehaven_streams::EventOutcome;
@@ -138,6 +139,7 @@
         }
     };
     let Some(vm) = choose_upstream(node, record, prompt, suspect) else {
+        fail_if_limited(node, record);
         sleep_ms(RETRY_MS).await;
         return None;
     };
@@ -179,8 +181,7 @@
         record.fail(kind, "the request was not completed before its deadline");
         return true;
     }
-    let never_started = record.stream.borrow().attempt() == record.stream.borrow().failed_starts();
-    if never_started && age >= START_TIMEOUT {
+    if has_never_started(record) && age >= START_TIMEOUT {
         record.fail(
             ErrorKind::NoUpstream,
             "no upstream of the service accepted the request in time",
@@ -190,6 +191,28 @@
     false
 }
 
+/// Fails a request that no upstream has begun, if all limit their requests and there is no
+/// permit before it would fail anyway.
+fn fail_if_limited(node: &Node, record: &Record) {
+    let closed = node
+        .upstreams
+        .borrow()
+        .closed(&record.request.service, node.now());
+    let Some(Closed::Limited(wait)) = closed else {
+        return;
+    };
+    let age = node.now().duration_since(record.accepted);
+    if has_never_started(record) && age + wait >= START_TIMEOUT {
+        let failure = permits::limited(node, &record.request.service, wait);
+        record.fail(failure.kind, failure.message);
+    }
+}
+
+fn has_never_started(record: &Record) -> bool {
+    let stream = record.stream.borrow();
+    stream.attempt() == stream.failed_starts()
+}
+
 fn choose_upstream(
     node: &Node,
     record: &Record,
