Look for a stated rate before listing the live entries

Cause: found by reading the change again: each request to an upstream without a limit listed all live entries twice before it was found that none is needed. Change: both doors look the rate up first.

--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -142,6 +142,9 @@
     incarnation: Incarnation,
 ) -> Result<(), Duration> {
     let key = key_of(vm, incarnation);
+    if node.permits.borrow().rate(&key).is_none() {
+        return Ok(());
+    }
     let asked = node.now();
     let Some(domain) = domain_of(node, &key) else {
         return Ok(());
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -94,6 +94,9 @@
 /// Returns the time after which there may be a permit.
 pub(crate) async fn acquire(node: &Rc<Node>, upstream: &Upstream) -> Result<(), Duration> {
     let key = &upstream.key;
+    if node.permits.borrow().rate(key).is_none() {
+        return Ok(());
+    }
     let asked = node.now();
     let step = with_view(node, &upstream.domain, asked, |view| {
         let mut permits = node.permits.borrow_mut();
