Move connections to upstreams out of the attempt

Cause: attempt.rs had 535 lines and kept the pool's rules beside the outcome of a request. Change: connect.rs takes, opens, puts back and recycles connections; what put one back stood four times. Conclusion: an attempt reads as one sequence now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,6 @@
 //! A single attempt to send a request to an upstream.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -33,6 +32,7 @@
 use lycheehaven_quarantine::Progress;
 use lycheehaven_types::Name;
 
+use crate::connect;
 use crate::node::Node;
 use crate::notice;
 use crate::permits;
@@ -40,25 +40,9 @@
 use crate::quarantine::RunInfo;
 use crate::quarantine::TrialGuard;
 
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Network delay to the upstream, subtracted from the deadline sent to it.
 const HOP_ALLOWANCE: Duration = Duration::from_millis(5);
 
-/// Time for which an idle connection is kept if the upstream announces no idle
-/// timeout.
-const DEFAULT_IDLE: Duration = Duration::from_secs(5);
-
-/// Fraction of the upstream's announced idle timeout for which an idle
-/// connection is kept.
-const IDLE_FRACTION: f64 = 0.7;
-
-/// Longest idle time after which a connection is reused for a request that must
-/// not be repeated. If the upstream closes an idle connection while a request is
-/// being sent on it, the request may or may not have run.
-const SAFE_REUSE_IDLE: Duration = Duration::from_millis(1500);
-
 /// An admitted request.
 pub(crate) struct Job {
     pub(crate) method: Method,
@@ -236,16 +220,14 @@
     let started = node.now();
     let mut force_new = false;
     loop {
-        let mut connection = match acquire_connection(node, job, upstream, force_new).await {
+        let mut connection = match connect::acquire(node, job, upstream, force_new).await {
             Ok(connection) => connection,
             Err(cause) => return Outcome::Unreachable(cause),
         };
         let permit = permits::acquire(node, upstream).await;
         let may_send = may_still_send(node, job, &upstream.key, resume);
         if permit.is_err() || !may_send {
-            let now = node.now();
-            let mut pool = node.pool.borrow_mut();
-            pool.put(&upstream.key, connection, DEFAULT_IDLE, now);
+            connect::put_back(node, &upstream.key, connection);
             let withdrawn = "the request must not be sent to it any more";
             return permit.map_or_else(Outcome::NoPermit, |()| {
                 Outcome::Unreachable(withdrawn.into())
@@ -332,11 +314,8 @@
     lycheehaven_net::spawn_detached(async move {
         if node.loads.borrow().in_backoff(&key, node.now()) {
             node.mark_down(&key, "recent connections to it failed");
-        } else if let Ok(connection) = open_connection(&node, &key, addr).await {
-            let now = node.now();
-            node.pool
-                .borrow_mut()
-                .put(&key, connection, DEFAULT_IDLE, now);
+        } else if let Ok(connection) = connect::open(&node, &key, addr).await {
+            connect::put_back(&node, &key, connection);
         }
     });
 }
@@ -353,12 +332,9 @@
     let (node, job) = (node.clone(), job.clone());
     lycheehaven_net::spawn_detached(async move {
         let key = &upstream.key;
-        match open_connection(&node, key, upstream.addr).await {
+        match connect::open(&node, key, upstream.addr).await {
             Ok(connection) => {
-                let now = node.now();
-                node.pool
-                    .borrow_mut()
-                    .put(key, connection, DEFAULT_IDLE, now);
+                connect::put_back(&node, key, connection);
                 quarantine::record_answered(&node, &job.features, began);
             }
             Err(cause) => {
@@ -369,41 +345,6 @@
     });
 }
 
-/// Takes an idle connection from the pool, or opens a new one if none is
-/// suitable or `force_new` is set.
-async fn acquire_connection(
-    node: &Rc<Node>,
-    job: &Job,
-    upstream: &Upstream,
-    force_new: bool,
-) -> Result<Connection, String> {
-    let now = node.now();
-    if !force_new {
-        let pooled = node.pool.borrow_mut().take(&upstream.key, now);
-        let reusable = pooled.filter(|(_, idle)| job.route.repeatable() || *idle < SAFE_REUSE_IDLE);
-        if let Some((connection, _)) = reusable {
-            return Ok(connection);
-        }
-    }
-    open_connection(node, &upstream.key, upstream.addr).await
-}
-
-/// Opens a connection. A failure marks the upstream as down.
-async fn open_connection(
-    node: &Node,
-    key: &UpstreamKey,
-    addr: SocketAddr,
-) -> Result<Connection, String> {
-    let count = node.pool.borrow_mut().connection_count(key);
-    let result = Connection::open(addr, CONNECT_TIMEOUT, count).await;
-    node.metrics.connections.inc();
-    if let Err(cause) = &result {
-        node.loads.borrow_mut().start_backoff(key, node.now());
-        node.mark_down(key, cause);
-    }
-    result
-}
-
 fn build_request(
     node: &Node,
     job: &Job,
@@ -504,20 +445,7 @@
         let body = response.into_body();
         let read = lycheehaven_net::read_body(body, MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT).await;
         if read.is_ok() {
-            recycle(&node, &upstream.key, &head, connection);
+            connect::recycle(&node, &upstream.key, &head, connection);
         }
     });
 }
-
-/// Returns a connection whose response is complete to the pool, unless the
-/// upstream closes it.
-pub(crate) fn recycle(node: &Node, key: &UpstreamKey, head: &ResponseHead, connection: Connection) {
-    if head.closing {
-        return;
-    }
-    let keep_idle = head
-        .idle_timeout
-        .map_or(DEFAULT_IDLE, |idle| idle.mul_f64(IDLE_FRACTION));
-    let now = node.now();
-    node.pool.borrow_mut().put(key, connection, keep_idle, now);
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`front`] decodes a request and checks its access. [`serve`] sends it to
 //! upstreams until one responds or no further attempt is allowed, [`attempt`] is
-//! one such attempt, and [`relay`] passes on the events of a stream. The decisions
+//! one such attempt on a connection of [`connect`], and [`relay`] passes on the events of a stream. The decisions
 //! are pure functions and types in other crates; [`node`] holds their state. Loops
 //! run beside the requests: [`watch`] follows the platform's store, [`exchange`]
 //! sends this entry's counts to its peers ([`summary`] builds the messages and [`apply`]
@@ -17,6 +17,7 @@
 mod call;
 mod cloud_calls;
 mod confirm;
+mod connect;
 mod counts;
 mod daemon;
 mod duty;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::attempt::ResumePoint;
 use crate::attempt::Target;
 use crate::attempt::UpstreamResponse;
+use crate::connect;
 use crate::evacuate;
 use crate::evacuate::MoveOutcome;
 use crate::evacuate::StreamState;
@@ -347,7 +348,7 @@
         if let Some(run) = self.run.take() {
             self.record_end(&run);
             drop(run.load_guard);
-            attempt::recycle(&self.node, &run.key, &run.head, run.connection);
+            connect::recycle(&self.node, &run.key, &run.head, run.connection);
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -30,6 +30,7 @@
 use crate::attempt::ResumePoint;
 use crate::attempt::Target;
 use crate::attempt::UpstreamResponse;
+use crate::connect;
 use crate::node::Node;
 use crate::quarantine;
 use crate::quarantine::Permission;
@@ -367,7 +368,7 @@
     if parts.status.is_success() && Framing::of(&parts.headers) != Framing::UntilClose {
         quarantine::record_answered(node, &job.features, began);
     }
-    attempt::recycle(node, &upstream.key, &head, connection);
+    connect::recycle(node, &upstream.key, &head, connection);
     Ok(caller_response(
         parts.status,
         &parts.headers,
