Limit the time for which one answer excludes an upstream that limits its requests

Cause: an entry that reaches hardly any other issues itself a permit in many minutes, and kept to that wait also when it reached the others again; an absurd wait from a peer overflowed the clock. Found by a test of messages of any content. Change: a wait is 5 s at most. Conclusion: an upstream is asked for again in time whatever an answer says.

--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -24,6 +24,10 @@
 /// the one in its own view.
 pub const ISSUER_WAIT: Duration = Duration::from_millis(250);
 
+/// Longest time for which one answer excludes an upstream. Who issues its permits, and how
+/// many, may change meanwhile.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
 /// The entries as one of them sees them.
 #[derive(Debug)]
 pub struct View<'a> {
@@ -180,7 +184,7 @@
     ) -> Result<(), Duration> {
         let is_late = now.saturating_duration_since(asked) > PERMIT_LIFETIME;
         let wait = if is_late { Some(Duration::ZERO) } else { wait };
-        let Some(wait) = wait else {
+        let Some(wait) = wait.map(|wait| wait.min(MAX_WAIT)) else {
             return Ok(());
         };
         self.waits.record(upstream, wait, now);
