Spread the returns of callers who get no place in the order

Cause: found by reading: callers beyond the 30 s for which places to return are given were all told 30 s, and would have come back together. Change: they return at random over the 30 s after it.

--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -13,6 +13,7 @@
 use lycheehaven_permits::Ask;
 use lycheehaven_permits::ISSUER_WAIT;
 use lycheehaven_permits::LimitView;
+use lycheehaven_permits::Refused;
 use lycheehaven_permits::Report;
 use lycheehaven_permits::Statement;
 use lycheehaven_permits::Step;
@@ -235,13 +236,14 @@
         .filter(|upstream| &*upstream.service == service && !upstream.leaving)
         .map(|upstream| key_of(&upstream.id.vm, upstream.id.incarnation))
         .collect();
-    let wait = node.permits.borrow_mut().book_return(
-        &service.into(),
-        keys.iter(),
-        node.topology().known,
+    let refused = Refused {
+        service: &service.into(),
+        entries: node.topology().known,
         first,
-        node.now(),
-    );
+        draw: rand::random(),
+    };
+    let mut permits = node.permits.borrow_mut();
+    let wait = permits.book_return(&refused, keys.iter(), node.now());
     let message =
         format!("all upstreams of service {service} limit their requests and take no more now");
     Failure::new(ErrorKind::Overloaded, message).retry_after(wait)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,6 +18,7 @@
 use lycheehaven_net::Body;
 use lycheehaven_net::Framing;
 use lycheehaven_net::read_body;
+use lycheehaven_permits::Refused;
 use lycheehaven_permits::units_of;
 use lycheehaven_quarantine::Progress;
 use lycheehaven_types::ErrorKind;
@@ -196,7 +197,13 @@
     let upstreams = directory.ready(service).map(|upstream| &upstream.key);
     let entries = node.roster.borrow().count();
     let mut permits = node.permits.borrow_mut();
-    let wait = permits.book_return(service, upstreams, entries, first, now);
+    let refused = Refused {
+        service,
+        entries,
+        first,
+        draw: rand::random(),
+    };
+    let wait = permits.book_return(&refused, upstreams, now);
     let message = "all upstreams of the service limit their requests and take no more now";
     Failure::new(ErrorKind::Overloaded, message).retry_after(wait.max(MIN_RETRY_AFTER))
 }
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -41,6 +41,7 @@
 pub use permits::ISSUER_WAIT;
 pub use permits::LimitView;
 pub use permits::Permits;
+pub use permits::Refused;
 pub use permits::Step;
 pub use permits::View;
 pub use returns::Returns;
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -59,6 +59,19 @@
     Ask(Name, Report),
 }
 
+/// A request that is refused as all upstreams of its service limit their requests.
+#[derive(Debug, Clone, Copy)]
+pub struct Refused<'a> {
+    /// Service of the request.
+    pub service: &'a Name,
+    /// Number of entries whose callers share what the upstreams take.
+    pub entries: usize,
+    /// Time before which no upstream takes a request.
+    pub first: Duration,
+    /// Random number from 0 to 1.
+    pub draw: f64,
+}
+
 /// A limit as operators see it.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct LimitView {
@@ -228,21 +241,25 @@
         issued.err()
     }
 
-    /// Returns the time after which a caller of `service` should return that is refused as
-    /// all its `upstreams` limit their requests. Callers of all `entries` together return
-    /// no faster than the limits allow, and none before `first`.
+    /// Returns the time after which a caller should return that is refused as all
+    /// `upstreams` of its service limit their requests. Callers of all entries together
+    /// return no faster than the limits allow.
     pub fn book_return<'a>(
         &mut self,
-        service: &Name,
+        refused: &Refused<'_>,
         upstreams: impl Iterator<Item = &'a UpstreamKey>,
-        entries: usize,
-        first: Duration,
         now: Instant,
     ) -> Duration {
         let rates = upstreams.filter_map(|upstream| self.statements.rate(upstream));
         let per_second: f64 = rates.map(RequestRate::per_second).sum();
-        let part = per_second / entries.max(1) as f64;
-        self.returns.book(service, part, first, now)
+        let part = per_second / refused.entries.max(1) as f64;
+        let Refused {
+            service,
+            first,
+            draw,
+            ..
+        } = *refused;
+        self.returns.book(service, part, first, draw, now)
     }
 
     /// Discards what concerns upstreams that `is_registered` does not accept, and what is
