Count a request once when working out what a limit leaves of an engine

Cause: found by reading: each batch of a stream's events added engine time and was counted as a request, so the work of a request seemed far smaller than it is, and an engine that limits its requests hardly ever counted when engines are ordered. Change: a request is added once, and later work apart from it. Conclusion: a limited engine counts for what it states.

--- a/crates/duties/src/demand.rs
+++ b/crates/duties/src/demand.rs
@@ -30,9 +30,14 @@
 }
 
 impl Demand {
-    /// Adds a request that takes `work_ms` milliseconds of engine time.
-    pub fn add(&mut self, service: &Name, work_ms: f64, now: Instant) {
+    /// Adds a request that begins with `work_ms` milliseconds of engine time.
+    pub fn add_request(&mut self, service: &Name, work_ms: f64, now: Instant) {
         self.requests(service).add(1.0, now);
+        self.add_work(service, work_ms, now);
+    }
+
+    /// Adds `work_ms` milliseconds of engine time for a request that was added before.
+    pub fn add_work(&mut self, service: &Name, work_ms: f64, now: Instant) {
         self.work_ms.add(service, work_ms, now);
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -272,7 +272,7 @@
         let work = self.node.cost_model.decode_ms(tokens);
         let now = self.node.now();
         let service = &self.job.service;
-        self.node.demand.borrow_mut().add(service, work, now);
+        self.node.demand.borrow_mut().add_work(service, work, now);
     }
 
     /// Handles the end of the upstream's response. The response of a run that was
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -278,7 +278,7 @@
         .ok_or_else(|| no_upstream("all upstreams of the service are excluded after failures"))?;
     if tried.is_empty() {
         let work = node.cost_model.prefill_ms(choice.uncached_tokens);
-        node.demand.borrow_mut().add(&job.service, work, now);
+        node.demand.borrow_mut().add_request(&job.service, work, now);
     }
     // A request that would miss its target latency would delay others as well.
     if let Some(excess) = choice.excess_wait(job.route.target_latency) {
