Let an attempt that got no permit use up neither the attempts nor the retry budget

Cause: found by reading: a stream that was to be resumed at an engine without a permit counted that as an attempt that was sent, so with two attempts allowed it broke off though other engines were free; and each further engine that was asked took a retry out of the budget. Change: an attempt that was not sent counts as none, and what the budget has paid is kept for the next one. Both places that take a retry call one function. Conclusion: a limited engine costs a request nothing but the time of an ask.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -475,6 +475,7 @@
     /// Continues the stream from its last event at an upstream that was not tried,
     /// without a KV cache.
     async fn resume(&mut self, cause: &str) -> Result<(), String> {
+        let mut is_paid = false;
         while self.may_resume() && self.job.remaining(self.node.now()) > Duration::ZERO {
             let now = self.node.now();
             let (node, job) = (&self.node, &self.job);
@@ -482,14 +483,8 @@
                 .map_err(|failure| format!("{cause}; {}", failure.message))?;
             let mut target = serve::pick_target(node, job, &self.tried, permission, now)
                 .map_err(|failure| failure.message)?;
-            let members = self.node.roster.borrow().count();
-            let service = &self.job.service;
-            if !self
-                .node
-                .retry_budget
-                .borrow_mut()
-                .try_take(service, members, now)
-            {
+            is_paid = is_paid || serve::take_retry(node, &job.service, now);
+            if !is_paid {
                 return Err(format!(
                     "{cause}; the retry budget of the service is exhausted"
                 ));
@@ -505,6 +500,12 @@
             };
             let outcome =
                 attempt::send(&self.node, &self.job, &target, &resume, self.job.deadline).await;
+            if matches!(outcome, Outcome::NoPermit(_)) {
+                // Nothing was sent, so another upstream may be tried.
+                self.delivered -= 1;
+                continue;
+            }
+            is_paid = false;
             if self.adopt_run(outcome) {
                 return Ok(());
             }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -74,6 +74,8 @@
     unreachable: usize,
     /// Asks for a permit that were refused.
     vain_asks: usize,
+    /// Whether the retry budget has paid for a further attempt that was not sent yet.
+    is_paid: bool,
     /// Why the last attempt that may have run the request failed.
     lost: Option<String>,
 }
@@ -82,11 +84,12 @@
 pub(crate) async fn serve(node: &Rc<Node>, job: Rc<Job>) -> Result<Response<Body>, Failure> {
     let mut attempts = Attempts::default();
     loop {
-        let target = next_upstream(node, &job, &attempts)?;
+        let target = next_upstream(node, &job, &mut attempts)?;
         attempts.tried.push(target.upstream.key.clone());
         let deadline = attempt_deadline(node, &job, &attempts);
         let outcome = attempt::send(node, &job, &target, &ResumePoint::default(), deadline).await;
         log_attempt(&job, &target, &attempts, &outcome);
+        attempts.is_paid &= matches!(outcome, Outcome::NoPermit(_));
         match outcome {
             Outcome::Responded(upstream_response) => {
                 attempts.delivered += 1;
@@ -113,15 +116,16 @@
 
 /// Returns the upstream for the next attempt, or the failure that ends the
 /// request.
-fn next_upstream(node: &Rc<Node>, job: &Job, attempts: &Attempts) -> Result<Target, Failure> {
-    next_target(node, job, attempts).map_err(|failure| match &attempts.lost {
+fn next_upstream(node: &Rc<Node>, job: &Job, attempts: &mut Attempts) -> Result<Target, Failure> {
+    let target = next_target(node, job, attempts);
+    target.map_err(|failure| match &attempts.lost {
         // The request may have run, so the failure must not say that it did not.
         Some(cause) => Failure::new(ErrorKind::UpstreamLost, cause.clone()),
         None => failure,
     })
 }
 
-fn next_target(node: &Rc<Node>, job: &Job, attempts: &Attempts) -> Result<Target, Failure> {
+fn next_target(node: &Rc<Node>, job: &Job, attempts: &mut Attempts) -> Result<Target, Failure> {
     let now = node.now();
     if now >= job.deadline {
         return Err(overloaded(
@@ -150,13 +154,9 @@
         0 => failure,
         _ => limited(node, &job.service, Duration::ZERO, now),
     })?;
-    if attempts.delivered > 0 {
-        let members = node.roster.borrow().count();
-        if !node
-            .retry_budget
-            .borrow_mut()
-            .try_take(&job.service, members, now)
-        {
+    if attempts.delivered > 0 && !attempts.is_paid {
+        attempts.is_paid = take_retry(node, &job.service, now);
+        if !attempts.is_paid {
             return Err(overloaded(
                 "the retry budget of the service is exhausted",
                 MIN_RETRY_AFTER,
@@ -169,6 +169,13 @@
     Ok(target)
 }
 
+/// Takes one retry out of the budget of a service and returns whether one was left.
+pub(crate) fn take_retry(node: &Node, service: &Name, now: Instant) -> bool {
+    let members = node.roster.borrow().count();
+    let mut budget = node.retry_budget.borrow_mut();
+    budget.try_take(service, members, now)
+}
+
 /// Makes the attempt at `target` a trial.
 pub(crate) fn begin_trial(node: &Rc<Node>, job: &Job, target: &mut Target) {
     let trial = quarantine::begin_trial(node, job, &target.upstream.key);
@@ -278,7 +285,9 @@
         .ok_or_else(|| no_upstream("all upstreams of the service are excluded after failures"))?;
     if tried.is_empty() {
         let work = node.cost_model.prefill_ms(choice.uncached_tokens);
-        node.demand.borrow_mut().add_request(&job.service, work, now);
+        node.demand
+            .borrow_mut()
+            .add_request(&job.service, work, now);
     }
     // A request that would miss its target latency would delay others as well.
     if let Some(excess) = choice.excess_wait(job.route.target_latency) {
