Choose the upstream of an attempt in a module that says why there is none

With limited upstreams that failure books a place in the order of return: one was booked when it was only asked whether a retry is possible, and two when a permit had been asked for in vain. Change: pick.rs chooses and returns why not; only who answers a caller makes the failure. Conclusion: places to return are taken by callers alone.

--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -29,8 +29,8 @@
 use crate::call::post_once;
 use crate::node::Node;
 use crate::notice;
+use crate::pick;
 use crate::quarantine::Permission;
-use crate::serve;
 
 /// Interval between checks for leaving engines, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 100;
@@ -276,10 +276,10 @@
 async fn move_stream(node: &Rc<Node>, state: &StreamState) -> MoveOutcome {
     let source = state.upstream.borrow().clone();
     let tried = [source.key.clone()];
-    let target = match serve::pick_target(node, &state.job, &tried, Permission::Plain, node.now()) {
+    let target = match pick::pick_target(node, &state.job, &tried, Permission::Plain, node.now()) {
         Ok(target) => target,
-        Err(failure) => {
-            log_move(state, &source, "no target", &failure.message);
+        Err(unpicked) => {
+            log_move(state, &source, "no target", unpicked.message());
             return MoveOutcome::Failed;
         }
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway: an entry that serves callers who name a route by host and path.
 //!
 //! [`front`] decodes a request and checks its access. [`serve`] sends it to
-//! upstreams until one responds or no further attempt is allowed, [`attempt`] is
+//! upstreams, which [`pick`] chooses, until one responds or no further attempt is allowed, [`attempt`] is
 //! one such attempt on a connection of [`connect`], and [`relay`] passes on the events of a stream. The decisions
 //! are pure functions and types in other crates; [`node`] holds their state. Loops
 //! run beside the requests: [`watch`] follows the platform's store, [`exchange`]
@@ -33,6 +33,7 @@
 mod notice;
 mod outage;
 mod permits;
+mod pick;
 mod quarantine;
 mod relay;
 mod serve;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,6 +35,7 @@
 use crate::evacuate::MoveOutcome;
 use crate::evacuate::StreamState;
 use crate::node::Node;
+use crate::pick;
 use crate::quarantine;
 use crate::quarantine::Permission;
 use crate::quarantine::RunInfo;
@@ -481,8 +482,8 @@
             let (node, job) = (&self.node, &self.job);
             let permission = quarantine::check(node, &job.features)
                 .map_err(|failure| format!("{cause}; {}", failure.message))?;
-            let mut target = serve::pick_target(node, job, &self.tried, permission, now)
-                .map_err(|failure| failure.message)?;
+            let mut target = pick::pick_target(node, job, &self.tried, permission, now)
+                .map_err(|unpicked| unpicked.message())?;
             is_paid = is_paid || serve::take_retry(node, &job.service, now);
             if !is_paid {
                 return Err(format!(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,17 +9,9 @@
 use lycheehaven_adapter::caller;
 use lycheehaven_catalog::RouteKind;
 use lycheehaven_catalog::UpstreamKey;
-use lycheehaven_dispatch::Ineligible;
-use lycheehaven_dispatch::Query;
-use lycheehaven_dispatch::TrialQuery;
-use lycheehaven_dispatch::choose;
-use lycheehaven_dispatch::eligible;
-use lycheehaven_fleet::Role;
 use lycheehaven_net::Body;
 use lycheehaven_net::Framing;
 use lycheehaven_net::read_body;
-use lycheehaven_permits::Refused;
-use lycheehaven_permits::units_of;
 use lycheehaven_quarantine::Progress;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
@@ -33,6 +25,11 @@
 use crate::attempt::UpstreamResponse;
 use crate::connect;
 use crate::node::Node;
+use crate::pick::MIN_RETRY_AFTER;
+use crate::pick::limited;
+use crate::pick::no_upstream;
+use crate::pick::overloaded;
+use crate::pick::pick_target;
 use crate::quarantine;
 use crate::quarantine::Permission;
 use crate::relay;
@@ -50,21 +47,6 @@
 /// the route's target latency.
 const TIMEOUT_FACTOR: u32 = 4;
 
-/// Upstreams considered for a request beside those that have its prompt cached, where
-/// reports of load arrive late.
-const SAMPLED_UPSTREAMS: usize = 3;
-
-/// Smallest value of the `Retry-After` header, before jitter.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
-
-/// Largest value of the `Retry-After` header while all upstreams are overloaded,
-/// before jitter.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1500);
-
-/// Value of the `Retry-After` header while no upstream can be reached, before
-/// jitter.
-const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(700);
-
 /// The attempts made for one request so far.
 #[derive(Debug, Default)]
 struct Attempts {
@@ -150,8 +132,8 @@
         return Err(limited(node, &job.service, Duration::ZERO, now));
     }
     let picked = pick_target(node, job, &attempts.tried, permission, now);
-    let mut target = picked.map_err(|failure| match attempts.vain_asks {
-        0 => failure,
+    let mut target = picked.map_err(|unpicked| match attempts.vain_asks {
+        0 => unpicked.failure(node, &job.service, now),
         _ => limited(node, &job.service, Duration::ZERO, now),
     })?;
     if attempts.delivered > 0 && !attempts.is_paid {
@@ -182,128 +164,6 @@
     target.trial = Some(Rc::new(trial));
 }
 
-/// Returns an overload failure with a `Retry-After` of about `wait`. The time has
-/// jitter, so that callers do not retry simultaneously.
-fn overloaded(message: &str, wait: Duration) -> Failure {
-    let jitter: f64 = rand::random_range(0.75..1.25);
-    let wait = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(jitter);
-    Failure::new(ErrorKind::Overloaded, message).retry_after(wait)
-}
-
-fn no_upstream(message: &str) -> Failure {
-    let jitter: f64 = rand::random_range(0.75..1.25);
-    Failure::new(ErrorKind::NoUpstream, message)
-        .retry_after(NO_UPSTREAM_RETRY_AFTER.mul_f64(jitter))
-}
-
-/// Returns the failure of a request that no upstream takes as they limit their requests.
-/// Callers return one after the other, as fast as the limits allow, and not before
-/// `first`.
-fn limited(node: &Node, service: &Name, first: Duration, now: Instant) -> Failure {
-    let directory = node.directory.borrow();
-    let upstreams = directory.ready(service).map(|upstream| &upstream.key);
-    let entries = node.roster.borrow().count();
-    let mut permits = node.permits.borrow_mut();
-    let refused = Refused {
-        service,
-        entries,
-        first,
-        draw: rand::random(),
-    };
-    let wait = permits.book_return(&refused, upstreams, now);
-    let message = "all upstreams of the service limit their requests and take no more now";
-    Failure::new(ErrorKind::Overloaded, message).retry_after(wait.max(MIN_RETRY_AFTER))
-}
-
-fn ineligible_failure(
-    node: &Node,
-    service: &Name,
-    ineligible: Ineligible,
-    now: Instant,
-) -> Failure {
-    match ineligible {
-        Ineligible::AllLimited(first) => limited(node, service, first, now),
-        Ineligible::NoneReady => no_upstream("no upstream of the service is ready"),
-        Ineligible::AllPaused(pause) => {
-            let message = "all upstreams of the service want no requests for a while";
-            let wait = pause.return_delay(rand::random(), now);
-            Failure::new(ErrorKind::Overloaded, message).retry_after(wait)
-        }
-    }
-}
-
-/// Chooses a ready upstream that is not in `tried`.
-pub(crate) fn pick_target(
-    node: &Node,
-    job: &Job,
-    tried: &[UpstreamKey],
-    permission: Permission,
-    now: Instant,
-) -> Result<Target, Failure> {
-    let directory = node.directory.borrow();
-    let pauses = node.pauses.borrow();
-    let eligible = {
-        let permits = node.permits.borrow();
-        let waits = permits.waits();
-        eligible(&directory, &pauses, waits, &job.service, tried, now)
-    };
-    let candidates =
-        eligible.map_err(|ineligible| ineligible_failure(node, &job.service, ineligible, now))?;
-    let catalog = node.config.borrow().catalog().cloned();
-    let service = catalog
-        .as_ref()
-        .and_then(|catalog| catalog.services.get(&job.service));
-    let (index, entries) = {
-        let roster = node.roster.borrow();
-        (roster.index(), roster.count())
-    };
-    let max_connections = service.map_or(usize::MAX, |service| service.max_connections);
-    let trial = (permission == Permission::Trial).then(|| TrialQuery {
-        excluded: node.quarantine.borrow().trial_upstreams(now),
-        wall_ms: node.wall_millis(),
-    });
-    let query = Query {
-        prompt: &job.head.prompt,
-        tokens: job.prompt_tokens(),
-        kv_tokens: job.kv_tokens(),
-        priority: job.priority,
-        target_latency: job.route.target_latency,
-        domain: &node.settings.domain,
-        engine: service.and_then(|service| service.engine.as_ref()),
-        draw: rand::random(),
-        trial: trial.as_ref(),
-        sample: (node.role.get() != Role::Mesh).then_some(SAMPLED_UPSTREAMS),
-    };
-    let mut pool = node.pool.borrow_mut();
-    let available = candidates.into_iter().filter(|upstream| {
-        let key = &upstream.key;
-        let limit = units_of(max_connections, key, index, entries);
-        pool.connection_count(key).get() < limit
-    });
-    let loads = node.loads.borrow();
-    let choice = choose(available, &query, &loads, &node.cost_model, now)
-        .ok_or_else(|| no_upstream("all upstreams of the service are excluded after failures"))?;
-    if tried.is_empty() {
-        let work = node.cost_model.prefill_ms(choice.uncached_tokens);
-        node.demand
-            .borrow_mut()
-            .add_request(&job.service, work, now);
-    }
-    // A request that would miss its target latency would delay others as well.
-    if let Some(excess) = choice.excess_wait(job.route.target_latency) {
-        return Err(overloaded(
-            "all upstreams of the service are overloaded",
-            excess,
-        ));
-    }
-    Ok(Target {
-        upstream: choice.upstream.clone(),
-        uncached_tokens: choice.uncached_tokens,
-        expected_delay: choice.expected_delay,
-        trial: None,
-    })
-}
-
 /// Returns the deadline of the next attempt. It is earlier than the request's
 /// only if another upstream may be tried afterwards.
 fn attempt_deadline(node: &Node, job: &Job, attempts: &Attempts) -> Instant {
@@ -343,9 +203,9 @@
     job.route.repeatable()
         && attempts.delivered < job.route.max_attempts
         && job.remaining(now) > job.route.target_latency / 2
-        && quarantine::check(node, &job.features)
-            .and_then(|permission| pick_target(node, job, &attempts.tried, permission, now))
-            .is_ok()
+        && quarantine::check(node, &job.features).is_ok_and(|permission| {
+            pick_target(node, job, &attempts.tried, permission, now).is_ok()
+        })
         && node.retry_budget.borrow_mut().has_remaining(
             &job.service,
             node.roster.borrow().count(),
