Count what callers want while all upstreams pause or limit their requests

Cause: found by reading: a request that was refused before an upstream was chosen added nothing to the engine time that callers want, so while all engines of a service were in need, fewer were ordered. Change: it adds the time for the tokens that it shares with no other request, as the rest is likely cached. Conclusion: the scaler hears of refused callers.

--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -96,7 +96,12 @@
         let waits = permits.waits();
         eligible(&directory, &pauses, waits, &job.service, tried, now)
     };
-    let candidates = eligible.map_err(Unpicked::Ineligible)?;
+    let candidates = eligible.map_err(|ineligible| {
+        if tried.is_empty() && ineligible != Ineligible::NoneReady {
+            count_demand(node, job, own_tokens(job), now);
+        }
+        Unpicked::Ineligible(ineligible)
+    })?;
     let catalog = node.config.borrow().catalog().cloned();
     let service = catalog
         .as_ref()
@@ -153,6 +158,11 @@
     demand.add_request(&job.service, work, now);
 }
 
+/// Returns the prompt tokens that no other request shares.
+fn own_tokens(job: &Job) -> u64 {
+    job.head.prompt.last().map_or(0, |part| part.tokens)
+}
+
 /// Returns an overload failure with a `Retry-After` of about `wait`. The time has
 /// jitter, so that callers do not retry simultaneously.
 pub(crate) fn overloaded(message: &str, wait: Duration) -> Failure {
