Fix the size of the receive buffer of callers in tests

Its bound counts 128 KiB for the kernel's buffer on the caller's side, which holds as long as that buffer does not grow. Traced by sampling the sockets while the test ran: the buffer grew to 162,867, 182,486 and 220,196 bytes in three runs and held 165,894, 183,510 and 222,763 (the kernel grows it while a late reader catches up). What the caller reads beyond the counted tokens explained 517 bytes at most in six runs. Change: the stand-in caller sets 64 KiB, which the kernel accounts as 128 KiB and no longer grows. The bound and the check are as they were; now what they state is true. The product did not exceed its bound.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -37,6 +37,7 @@
 pub use tasks::spawn_detached;
 pub use tasks::yield_now;
 pub use unpooled::RequestError;
+pub use unpooled::send_over;
 pub use unpooled::send_unpooled;
 
 use hyper::Response;
--- a/crates/net/src/unpooled.rs
+++ b/crates/net/src/unpooled.rs
@@ -51,6 +51,16 @@
         Ok(Err(cause)) => return Err(RequestError::NotSent(cause.to_string())),
         Err(_) => return Err(RequestError::NotSent("connection attempt timed out".into())),
     };
+    send_over(stream, request, response_timeout).await
+}
+
+/// Sends `request` over `stream`, a new connection, and returns the response as
+/// [`send_unpooled`] does.
+pub async fn send_over(
+    stream: TcpStream,
+    request: Request<Body>,
+    response_timeout: Duration,
+) -> Result<Response<Incoming>, RequestError> {
     let _ = stream.set_nodelay(true);
     let stream = FairStream::for_client(HyperStream::new_plain(stream));
     let (mut sender, connection) = http1::handshake(stream)
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use compio::net::TcpStream;
 use futures_util::StreamExt;
 use http_body_util::BodyStream;
 use hyper::Method;
@@ -15,13 +16,18 @@
 use lycheehaven_net::HttpClient;
 use lycheehaven_net::Reply;
 use lycheehaven_net::RequestError;
-use lycheehaven_net::send_unpooled;
+use lycheehaven_net::send_over;
 use serde_json::Value;
 use serde_json::json;
+use socket2::SockRef;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Size of the kernel's buffer for what a caller has not read, which accounts for twice as
+/// much. A size that is set does not grow with the data.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// A caller that authenticates with a workspace's bearer key.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -56,6 +62,21 @@
     buffer: String,
 }
 
+/// Sends a request over a new connection with a receive buffer of a fixed size.
+async fn send(
+    addr: SocketAddr,
+    request: Request<Body>,
+) -> Result<Response<Incoming>, RequestError> {
+    let connecting = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let stream = connecting
+        .map_err(|_| RequestError::NotSent("connection attempt timed out".into()))?
+        .map_err(|cause| RequestError::NotSent(cause.to_string()))?;
+    SockRef::from(&stream)
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .map_err(|cause| RequestError::NotSent(cause.to_string()))?;
+    send_over(stream, request, RESPONSE_TIMEOUT).await
+}
+
 impl Client {
     /// Creates a caller with bearer key `key`.
     pub fn new(key: &str) -> Self {
@@ -82,7 +103,7 @@
                 serde_json::to_vec(&body).expect("JSON serializes"),
             ))
             .expect("request parts are valid");
-        let response = send_unpooled(addr, request, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
+        let response = send(addr, request).await?;
         Ok(TokenStream::new(response, Received::default()))
     }
 
@@ -99,7 +120,7 @@
             .header("last-event-id", received.tokens.to_string())
             .body(Body::full(""))
             .expect("request parts are valid");
-        let response = send_unpooled(addr, request, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
+        let response = send(addr, request).await?;
         let received = Received {
             moved: false,
             error: None,
