--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -20,8 +20,9 @@
 //! divided by [`units_of`].
 //!
 //! [`Permits`] holds all of this at an entry, for both of its interfaces: they pass it what
-//! happens and do what [`Step`] says. [`Ask`] and [`Answer`] are the messages. A permit that is lost on its way is spent, as
-//! is one whose request breaks off: it may reach the upstream yet.
+//! happens and do what [`Step`] says. [`Ask`] and [`Answer`] are the messages. A permit that
+//! is lost on its way is spent, as is one whose request breaks off: it may reach the
+//! upstream yet.
 
 mod issuer;
 mod message;
