Review, case 2: requests run on more engines than maxAttempts

Cause: the relay's repeats before the first event are not counted by the loop that sends a request to upstreams, so that it repeats the request once more. Change: a script in which engines reset 0.45 of their streams within the first event, three times for 4 s.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code)]
 
+mod attempts;
 mod engine;
 mod fleet;
 mod http;
@@ -30,6 +31,7 @@
     let record = engine::Record::new();
     let verdict = match name.as_str() {
         "silence" => silence::run(trouble, &record),
+        "attempts" => attempts::run(trouble, &record),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     let (line, code) = match verdict {
