Review, case 1: one unreadable entry keeps restarted gateways from ever serving

Cause: a list of the engines is parsed as a whole, so that one entry of another writer with a value that the parser refuses makes all entries unreadable; a gateway is ready only after its first list. Change: a script in which such an entry is written before all processes are killed and started again, for three such entries.

--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -55,6 +55,15 @@
     }
 }
 
+fn spawn(settings: &Path, log: File) -> Child {
+    Command::new("target/release/lycheehaven")
+        .args(["gateway".as_ref(), settings.as_os_str()])
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the build of the deploy file exists")
+}
+
 fn free_tcp() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
@@ -80,16 +89,28 @@
         let file = folder.0.join(format!("{name}.toml"));
         fs::write(&file, settings).expect("the settings file is written");
         let log = File::create(folder.0.join(format!("{name}.log"))).expect("a log file");
-        let program = Path::new("target/release/lycheehaven");
-        let child = Command::new(program)
-            .args(["gateway".as_ref(), file.as_os_str()])
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the build of the deploy file exists");
+        let child = spawn(&file, log);
         Self { name: name.to_owned(), front, ready, child }
     }
 
+    /// Kills the process, as SIGKILL of the platform does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again after its end, with the same addresses. `bootstrap` is no
+    /// longer true.
+    pub fn restart(&mut self, folder: &Folder) {
+        let file = folder.0.join(format!("{}.toml", self.name));
+        let settings = fs::read_to_string(&file).expect("the settings file is read");
+        let settings = settings.replace("first_start = true", "first_start = false");
+        fs::write(&file, settings).expect("the settings file is written");
+        let log = folder.0.join(format!("{}.log", self.name));
+        let log = File::options().append(true).open(log).expect("the log file is opened");
+        self.child = spawn(&file, log);
+    }
+
     /// Waits until the readiness probe answers 200.
     pub fn wait_ready(&mut self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -11,6 +11,8 @@
     Str(String),
     List(Vec<Json>),
     Map(BTreeMap<String, Json>),
+    /// Text that is written as it is.
+    Raw(String),
 }
 
 impl Json {
@@ -160,6 +162,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Json::Null => f.write_str("null"),
+            Json::Raw(text) => f.write_str(text),
             Json::Bool(value) => write!(f, "{value}"),
             Json::Num(value) if value.fract() == 0.0 && value.abs() < 1e15 => {
                 write!(f, "{}", *value as i64)
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -11,6 +11,7 @@
 mod json;
 mod platform;
 mod silence;
+mod unreadable;
 
 use std::process::ExitCode;
 
@@ -32,6 +33,7 @@
     let verdict = match name.as_str() {
         "silence" => silence::run(trouble, &record),
         "attempts" => attempts::run(trouble, &record),
+        "unreadable" => unreadable::run(trouble, &record),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     let (line, code) = match verdict {
