Review, case 2: a key that was taken away is accepted after a restart

Cause: a process that starts after the store came back from a copy takes the copy's configuration for the newest at once; only one that was running waits. The stand-in of the store gets Store-Era.

--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -248,6 +248,11 @@
 
 /// A configuration with one route to one service of engines.
 pub fn config(version: u64, routes: Vec<Json>, services: &[&str]) -> Json {
+    config_with_keys(version, routes, services, &[KEY])
+}
+
+/// The same with these keys of the tenant.
+pub fn config_with_keys(version: u64, routes: Vec<Json>, services: &[&str], keys: &[&str]) -> Json {
     let services = services
         .iter()
         .map(|name| {
@@ -270,7 +275,7 @@
     ]);
     let tenant = map([
         ("name", text("hule930")),
-        ("apiKeys", Json::List(vec![text(KEY)])),
+        ("apiKeys", Json::List(keys.iter().map(|key| text(*key)).collect())),
         ("ratePerS", num(0)),
         ("burst", num(0)),
     ]);
@@ -308,12 +313,17 @@
 /// A client's request on that route. Each has an id and a last part of its own; `number`
 /// draws the shared parts, of which the site has 20 and 233.
 pub fn stream_request(id: &str, number: u64, deadline_ms: u64) -> Vec<u8> {
+    stream_request_with_key(id, number, deadline_ms, KEY)
+}
+
+/// The same with this key.
+pub fn stream_request_with_key(id: &str, number: u64, deadline_ms: u64, key: &str) -> Vec<u8> {
     let body = format!("prompt of {id}");
     let (first, second) = (number * 7 % 20, number * 31 % 233);
     format!(
         "POST /pufi791/2f HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nModel: m\r\n\
          Token-Usage: 628,240\r\nPrompt-Prefix: 5c1e{first:04x}:119,91bd{second:04x}:79,{id}:430\r\n\
-         Request-Deadline: {deadline_ms}\r\nCredential: {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+         Request-Deadline: {deadline_ms}\r\nCredential: {key}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )
     .into_bytes()
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -22,9 +22,18 @@
     objects: BTreeMap<(String, String), Object>,
     /// Revision, kind, name, object and whether it was deleted.
     events: Vec<(u64, String, Json, bool)>,
+    /// Number of times that the store came back from a copy.
+    era: u64,
+    away: bool,
     duties: Vec<(Instant, String, Vec<(String, String)>, Json)>,
 }
 
+/// A copy of the store's objects.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+}
+
 /// The store and the API for duties, each at an address of its own.
 #[derive(Clone)]
 pub struct Platform {
@@ -60,6 +69,29 @@
         self.state.1.notify_all();
     }
 
+    /// Makes the store unreachable for all: it closes each channel without an answer.
+    pub fn leave(&self) {
+        self.state.0.lock().unwrap().away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Takes a copy of all objects.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Comes back from a copy. `Store-Era` rises by one.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.state.0.lock().unwrap();
+        state.away = false;
+        state.era += 1;
+        state.revision = copy.revision;
+        state.events.retain(|(revision, ..)| *revision <= copy.revision);
+        state.objects = copy.objects;
+        self.state.1.notify_all();
+    }
+
     pub fn delete(&self, kind: &str, name: &str) {
         let mut state = self.state.0.lock().unwrap();
         remove(&mut state, kind, name);
@@ -132,12 +164,21 @@
     let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
     let (lock, changed) = &**shared;
     let mut state = lock.lock().unwrap();
+    if state.away {
+        return Ok(After::Reset);
+    }
     let result = match (request.method.as_str(), name) {
         ("GET", None) => match query.get("watch").and_then(|r| r.parse::<u64>().ok()) {
             Some(since) => {
                 let wait = query.get("waitMs").and_then(|w| w.parse().ok()).unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(wait);
                 loop {
+                    if state.away {
+                        return Ok(After::Reset);
+                    }
+                    if since > state.revision {
+                        break ("410 Gone", map([]));
+                    }
                     let events: Vec<Json> = state
                         .events
                         .iter()
@@ -196,7 +237,9 @@
         },
         _ => ("400 Bad Request", map([])),
     };
+    let era = state.era.to_string();
     drop(state);
     changed.notify_all();
-    reply(stream, result.0, &result.1)
+    let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+    http::respond(stream, result.0, &headers, result.1.to_string().as_bytes())
 }
