--- a/review/standins/attempts.rs
+++ b/review/standins/attempts.rs
@@ -30,11 +30,11 @@
 const ENGINES: usize = 12;
 const FAILED_OF_HUNDRED: u64 = 45;
 const LENGTH: Duration = Duration::from_secs(4);
-const BEGINS_S: [u64; 3] = [3, 12, 21];
+const BEGINS_S: [u64; 6] = [3, 12, 21, 30, 39, 48];
 
 /// Requests a second, as `shopper-answer` has them, and for how long.
 const PER_SECOND: u64 = 30;
-const SECONDS: u64 = 27;
+const SECONDS: u64 = 54;
 
 pub fn run(trouble: bool, record: &Record) -> Verdict {
     let folder = Folder::new();
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -64,18 +65,24 @@
         .expect("the build of the deploy file exists")
 }
 
-fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Returns a port that was free for both protocols, below those that the system gives out
+/// for outgoing channels.
+fn free_port() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(61) % 10_000;
+    loop {
+        let offset = (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 10_000;
+        let addr = SocketAddr::from(([127, 0, 0, 1], 20_000 + offset as u16));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 impl Gateway {
     /// Starts `run` of the deploy file with the settings that its template gives.
     pub fn start(folder: &Folder, name: &str, zone: &str, platform: &Platform) -> Self {
-        let (front, ready, metrics, peer) = (free_tcp(), free_tcp(), free_tcp(), free_udp());
+        let (front, ready, metrics, peer) = (free_port(), free_port(), free_port(), free_port());
         let settings = format!(
             "name = \"{name}\"\ndomain = \"{zone}\"\n\
              domains = [\"chaguanas\",\"arima\",\"san-fernando\",\"sangre-grande\"]\n\
