Review, case 3: send SIGTERM by a system call

Cause: a machine without the program kill could not run the case. Change: the stand-in calls kill(2) for its own child.

--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -133,11 +133,14 @@
         false
     }
 
-    /// Sends a signal by its name, such as TERM.
-    pub fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", signal, &pid]).status();
-        assert!(sent.is_ok_and(|s| s.success()), "the signal is sent");
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) {
+        extern "C" {
+            fn kill(pid: i32, signal: i32) -> i32;
+        }
+        // SAFETY: the call takes no pointers; the process is a child that was not waited for.
+        let sent = unsafe { kill(self.child.id() as i32, 15) };
+        assert_eq!(sent, 0, "the signal is sent");
     }
 
     pub fn has_ended(&mut self) -> bool {
--- a/review/standins/silence.rs
+++ b/review/standins/silence.rs
@@ -71,7 +71,7 @@
     let running: usize = engines.iter().map(Engine::running).sum();
     record.add(format!("{running} streams run"));
     record.add("SIGTERM of front-chaguanas-1");
-    gateways[0].signal("TERM");
+    gateways[0].terminate();
     thread::sleep(Duration::from_millis(300));
     if trouble {
         for engine in &engines {
