--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -74,6 +74,7 @@
     pace: Pace,
     runs: Mutex<Vec<Arc<Run>>>,
     cut: Mutex<Option<Chooser>>,
+    exited: AtomicBool,
     record: Record,
     /// All runs that began, by request and engine.
     log: RunLog,
@@ -108,6 +109,7 @@
             pace,
             runs: Mutex::default(),
             cut: Mutex::default(),
+            exited: AtomicBool::new(false),
             record: record.clone(),
             log: log.clone(),
             serial: AtomicU64::new(0),
@@ -147,6 +149,12 @@
         *self.state.cut.lock().unwrap() = chooser;
     }
 
+    /// Ends the engine: it resets its channels.
+    pub fn exit(&self) {
+        self.state.exited.store(true, Ordering::Relaxed);
+        self.state.record.add(format!("engine {} exits", self.state.id));
+    }
+
     pub fn running(&self) -> usize {
         self.state.runs.lock().unwrap().len()
     }
@@ -154,6 +162,9 @@
 
 fn handle(state: &Arc<State>, request: &Request, stream: &mut TcpStream) -> io::Result<After> {
     let id = request.header("request-id").unwrap_or("-").to_owned();
+    if state.exited.load(Ordering::Relaxed) {
+        return Ok(After::Reset);
+    }
     if request.target == "/healthz" {
         return http::respond(stream, "200 OK", &[("Instance-Id", &state.id)], b"");
     }
@@ -220,6 +231,9 @@
             }
             thread::sleep(left.min(Duration::from_millis(50)));
         }
+        if state.exited.load(Ordering::Relaxed) {
+            return Ok(After::Reset);
+        }
         let data = format!("id: {event}\ndata: {id} {event}\n\n");
         if cut == Some(Cut::WithinEvent(event)) {
             let half = &data[..data.len() / 2];
@@ -310,7 +324,32 @@
     ])
 }
 
-/// A client's request on that route. Each has an id and a last part of its own; `number`
+/// The route of `route-report` of caroni-refill: a stream that may not be resumed.
+pub fn report_route(service: &str) -> Json {
+    map([
+        ("name", text("route-report")),
+        ("host", text(HOST)),
+        ("pathPrefix", text("/lohu930/")),
+        ("routeType", text("streaming")),
+        ("timeoutMs", num(15_000)),
+        ("targetLatencyMs", num(1200)),
+        ("priority", num(1)),
+        ("service", text(service)),
+        ("maxAttempts", num(1)),
+        ("public", Json::Bool(false)),
+        ("stickySessions", Json::Bool(true)),
+        ("resumable", Json::Bool(false)),
+        ("gapAimMs", num(500)),
+    ])
+}
+
+/// A client's request on the route of `route-report`.
+pub fn report_request(id: &str, number: u64, deadline_ms: u64) -> Vec<u8> {
+    let request = String::from_utf8(stream_request(id, number, deadline_ms)).expect("ASCII");
+    request.replacen("/pufi791/", "/lohu930/", 1).into_bytes()
+}
+
+/// A client's request on the route of `shopper-answer`. Each has an id and a last part of its own; `number`
 /// draws the shared parts, of which the site has 20 and 233.
 pub fn stream_request(id: &str, number: u64, deadline_ms: u64) -> Vec<u8> {
     stream_request_with_key(id, number, deadline_ms, KEY)
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod platform;
+mod restored;
 mod revoked;
 mod silence;
 mod unreadable;
@@ -35,6 +36,7 @@
         "silence" => silence::run(trouble, &record),
         "attempts" => attempts::run(trouble, &record),
         "unreadable" => unreadable::run(trouble, &record),
+        "restored" => restored::run(trouble, &record),
         "revoked" => revoked::run(trouble, &record),
         other => Verdict::NotRun(format!("no case {other}")),
     };
