--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -131,12 +131,24 @@
         seconds: i32,
     }
     extern "C" {
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, size: u32) -> i32;
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const std::ffi::c_void, size: u32) -> i32;
     }
     let linger = Linger { on: 1, seconds: 0 };
     // SOL_SOCKET and SO_LINGER of Linux on x86-64 and arm64.
     // SAFETY: the descriptor is open and the value has the size that is passed.
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &linger, 8) };
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, (&raw const linger).cast(), 8) };
+}
+
+/// Limits the bytes that the kernel receives ahead of the reader, as a small window does.
+pub fn limit_receive_buffer(stream: &TcpStream, bytes: usize) {
+    use std::os::fd::AsRawFd;
+    extern "C" {
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const std::ffi::c_void, size: u32) -> i32;
+    }
+    let size = bytes as i32;
+    // SOL_SOCKET and SO_RCVBUF of Linux on x86-64 and arm64.
+    // SAFETY: the descriptor is open and the value has the size that is passed.
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 8, (&raw const size).cast(), 4) };
 }
 
 /// Writes a whole response with a length.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod attempts;
+mod download;
 mod engine;
 mod fleet;
 mod http;
@@ -33,6 +34,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = engine::Record::new();
     let verdict = match name.as_str() {
+        "download" => download::run(trouble, &record),
         "silence" => silence::run(trouble, &record),
         "attempts" => attempts::run(trouble, &record),
         "unreadable" => unreadable::run(trouble, &record),
