Review, case 2: a sound prompt part is quarantined in place of the crashing one

Cause: a part that crashes engines and a sound part before it have the same crashes. Once these suffice, both decisions are due at once, and the order of a hash map says which of the parts is quarantined.

--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -100,7 +100,8 @@
     });
 }
 
-fn serve_channel(stream: TcpStream, handler: &Handler) -> io::Result<()> {
+/// Serves one channel until it ends.
+pub fn serve_channel(stream: TcpStream, handler: &Handler) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod http;
 mod json;
+mod parts;
 mod platform;
 mod restored;
 mod revoked;
@@ -38,6 +39,7 @@
         "silence" => silence::run(trouble, &record),
         "attempts" => attempts::run(trouble, &record),
         "unreadable" => unreadable::run(trouble, &record),
+        "parts" => parts::run(trouble, &record),
         "restored" => restored::run(trouble, &record),
         "revoked" => revoked::run(trouble, &record),
         other => Verdict::NotRun(format!("no case {other}")),
