--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`LoadTracker`] holds the known load of each upstream: this entry's own requests,
 //! the requests that peers report, the load that the upstream reports with its
 //! responses, and its recent failures. [`Pauses`] holds which upstreams asked for no
-//! requests, and [`eligible`] returns those that may get one at all. Of these [`choose`]
+//! requests, and [`eligible()`] returns those that may get one at all. Of these [`choose()`]
 //! selects one: it weighs the load against the prompt parts that an upstream has cached.
 //! [`Activity`] holds when an upstream was last heard, and [`Silence`] decides whether a
 //! run that is silent goes on elsewhere.
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -1,7 +1,7 @@
 //! Checks recorded histories against the guarantees of the system.
 //!
 //! Callers, upstreams, the platform and the entries record [`Event`]s, one JSON
-//! object per line. [`check`] returns the [`Rule`]s that a history violates. It
+//! object per line. [`check()`] returns the [`Rule`]s that a history violates. It
 //! depends only on the guarantees, not on how the system implements them.
 
 mod check;
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! 1. [`Statements`] keeps which rate holds for which upstream: what this entry read in
 //!    responses, and what peers report.
-//! 2. [`issuer`] chooses the entry that issues the permits of an upstream. All entries
+//! 2. [`issuer()`] chooses the entry that issues the permits of an upstream. All entries
 //!    that know the same live entries choose the same one.
 //! 3. An entry asks for a permit right before it writes a request, and writes none
 //!    without it. [`Issuer`] hands out permits at the stated rate and saves up almost
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,7 +3,7 @@
 //! In each failure domain one entry holds the domain's lease and maintains the
 //! declared upstreams. [`LeaseClient`] acquires and renews the lease and returns its
 //! fencing token while the lease may be relied on; every order carries that token.
-//! [`reconcile`] compares the declared services with the running VMs and returns the
+//! [`reconcile()`] compares the declared services with the running VMs and returns the
 //! orders that remove the difference. Orders are declarative, so the next comparison
 //! corrects a delayed or repeated one.
 
