Log answers before the end of a body, and what is discarded behind the last answer

Change: one line an early answer with the request, the status and the bytes that are due; one line a connection with the number of bytes that were discarded. Conclusion: the log names both halves of the fault.

--- a/crates/net/src/open_requests.rs
+++ b/crates/net/src/open_requests.rs
@@ -223,8 +223,14 @@
 
     /// Returns whether a part of the last request's body may not have been received.
     pub(crate) fn is_body_unread(&self) -> bool {
-        let left = self.bounds.borrow().has_body_left();
-        left.unwrap_or(self.is_refused.get())
+        let due = self.body_due();
+        due.map_or(self.is_refused.get(), |due| due > 0)
+    }
+
+    /// Returns the bytes of the last request's body that were not received, or `None` if
+    /// its size is unknown.
+    pub(crate) fn body_due(&self) -> Option<u64> {
+        self.bounds.borrow().body_due()
     }
 }
 
--- a/crates/net/src/request_bounds.rs
+++ b/crates/net/src/request_bounds.rs
@@ -89,12 +89,12 @@
         }
     }
 
-    /// Returns whether a part of the current body was not received yet, or `None` if its
+    /// Returns the bytes of the current body that were not received yet, or `None` if its
     /// size is unknown.
-    pub(crate) fn has_body_left(&self) -> Option<bool> {
+    pub(crate) fn body_due(&self) -> Option<u64> {
         match self.position {
-            Position::Head { .. } | Position::HeadEnd => Some(false),
-            Position::Body(_) => Some(true),
+            Position::Head { .. } | Position::HeadEnd => Some(0),
+            Position::Body(left) => Some(left),
             Position::Unknown => None,
         }
     }
--- a/crates/net/src/server_connection.rs
+++ b/crates/net/src/server_connection.rs
@@ -91,6 +91,7 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
+                log_early_answer(&activity, response.status().as_u16());
                 activity.begin_response(response.status().as_u16() >= 400);
                 Ok::<_, Infallible>(response.map(|body| FollowedBody { body, activity }))
             }
@@ -175,6 +176,22 @@
     );
 }
 
+/// Logs an answer that is given before the end of the request's body.
+fn log_early_answer(activity: &Activity, status: u16) {
+    let due = activity.body_due().unwrap_or(0);
+    if due == 0 {
+        return;
+    }
+    let open = activity.open_request();
+    log::info!(
+        target: "lycheehaven",
+        request = open.as_ref().map_or("-", |open| open.id_text()),
+        status = status,
+        due_bytes = due;
+        "answered before the end of the request's body"
+    );
+}
+
 /// Returns once the connection has to close as soon as no request is open on it.
 async fn close_time(token: &CancellationToken, activity: &Activity) {
     token.cancelled().await;
@@ -187,19 +204,27 @@
 /// the connection. The close of a connection with unread bytes is a reset, which
 /// destroys the part of an answer that the client has not received.
 async fn discard(mut socket: &TcpStream) {
+    let bytes = Cell::new(0);
     let read = async {
         let mut buffer = Vec::with_capacity(DISCARD_BYTES);
         loop {
             buffer.clear();
             let BufResult(length, returned) = socket.read(buffer).await;
             buffer = returned;
-            if !length.is_ok_and(|length| length > 0) {
-                return;
+            match length {
+                Ok(length) if length > 0 => bytes.set(bytes.get() + length),
+                Ok(_) | Err(_) => return,
             }
         }
     };
-    if compio::time::timeout(LINGER_TIME, read).await.is_err() {
-        log::debug!(target: "lycheehaven", "a client still sends behind its last answer");
+    let is_closed = compio::time::timeout(LINGER_TIME, read).await.is_ok();
+    if bytes.get() > 0 || !is_closed {
+        log::info!(
+            target: "lycheehaven",
+            bytes = bytes.get(),
+            closed_by_client = is_closed;
+            "discarded what a client sent behind its last answer"
+        );
     }
 }
 
