--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod configuration;
 mod continuation;
+mod early_answers;
 mod odd_values;
 mod partition;
 mod path;
