Read the rest of a body behind an early answer, or say that the connection closes

Cause: `hyper` ends a connection whose request body is dropped before its end, and the answer, already written, did not say so. What came behind was discarded for up to 3 s, the next whole request with it; its caller found the connection closed with no answer and no refusal. Change: in the one server of both doors. A handler gets a body that returns to its connection when it is dropped, and a pure function decides when the answer is given, before its head is written: a declared rest of up to 256 KiB is read and discarded behind the answer, within the time limit of a head, and the connection goes on; else (chunked and not read to its end, malformed, a larger rest, a 408, `Expect` with no byte of the body received, an answer that ends the connection anyway) the answer says `Connection: close`, and what follows is discarded without being parsed. A stop waits for such a rest before it closes the connection, so that no reset destroys the answer. A rest that does not come in time ends the connection without a linger. Conclusion: an answer without a close keeps its connection, for both doors, for any early answer.

--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -5,11 +5,11 @@
 
 use hyper::Request as HttpRequest;
 use hyper::Response;
-use hyper::body::Incoming;
 use lycheehaven_config::ServiceKind;
 use lycheehaven_limits::Permit;
 use lycheehaven_limits::Rejection;
 use lycheehaven_net::Body;
+use lycheehaven_net::Incoming;
 use lycheehaven_net::json_response;
 use lycheehaven_net::read_body;
 use lycheehaven_routing::Closed;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -5,7 +5,6 @@
 
 use hyper::Request as HttpRequest;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use lycheehaven_claims::Claim;
@@ -18,6 +17,7 @@
 use lycheehaven_config::ServiceKind;
 use lycheehaven_limits::Permit;
 use lycheehaven_net::Body;
+use lycheehaven_net::Incoming;
 use lycheehaven_net::Panicked;
 use lycheehaven_net::RequestError;
 use lycheehaven_net::bytes_response;
--- a/crates/net/src/open_requests.rs
+++ b/crates/net/src/open_requests.rs
@@ -122,6 +122,7 @@
             has_read: Cell::new(false),
             is_written: Cell::new(true),
             is_refused: Cell::new(false),
+            is_body_left: Cell::new(false),
         });
         let mut connections = self.0.connections.borrow_mut();
         connections.insert(key, activity.clone());
@@ -142,6 +143,8 @@
     is_written: Cell<bool>,
     /// Whether the last response was a failure, before which a body may not be read.
     is_refused: Cell<bool>,
+    /// Whether the last response was given before the end of a body that is not read.
+    is_body_left: Cell<bool>,
 }
 
 impl Activity {
@@ -202,6 +205,11 @@
         self.set_phase(Some(Phase::Client));
     }
 
+    /// Records whether the rest of the last request's body is left unread.
+    pub(crate) fn leave_body(&self, is_left: bool) {
+        self.is_body_left.set(is_left);
+    }
+
     /// Records that the whole response was passed to the connection's buffers.
     pub(crate) fn end_response(&self) {
         self.is_written.set(true);
@@ -224,7 +232,7 @@
     /// Returns whether a part of the last request's body may not have been received.
     pub(crate) fn is_body_unread(&self) -> bool {
         let due = self.body_due();
-        due.map_or(self.is_refused.get(), |due| due > 0)
+        self.is_body_left.get() || due.map_or(self.is_refused.get(), |due| due > 0)
     }
 
     /// Returns the bytes of the last request's body that were not received, or `None` if
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -10,11 +10,11 @@
 use futures_util::select_biased;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use socket2::SockRef;
 use tokio_util::sync::CancellationToken;
 
 use crate::Body;
+use crate::Incoming;
 use crate::OpenRequests;
 use crate::server_connection;
 use crate::tasks::CountGuard;
--- a/crates/net/src/server_connection.rs
+++ b/crates/net/src/server_connection.rs
@@ -22,15 +22,17 @@
 use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use futures_util::future::FusedFuture;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::Version;
 use hyper::body::Body as _;
 use hyper::body::Bytes;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use hyper::header::CONNECTION;
+use hyper::header::EXPECT;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::Service;
@@ -38,12 +40,17 @@
 use socket2::SockRef;
 use tokio_util::sync::CancellationToken;
 
+use crate::AnsweredBody;
 use crate::Body;
+use crate::BodyRest;
 use crate::FairStream;
 use crate::Handler;
+use crate::Incoming;
 use crate::OpenRequests;
 use crate::Phase;
 use crate::ServerLimits;
+use crate::incoming::BodyState;
+use crate::incoming::RestReader;
 use crate::open_requests::Activity;
 use crate::open_requests::is_blank;
 
@@ -79,25 +86,38 @@
         let handler = Rc::new(handler);
         let (closing, version) = (token.clone(), ending.version.clone());
         let follower = activity.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
+        let rest = Rc::new(RestReader::default());
+        let reader = rest.clone();
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
             version.set(request.version());
             follower.begin_handling(request.headers(), request.body().size_hint().exact());
+            let received = ReceivedRequest::new(&request);
             let (handler, activity) = (handler.clone(), follower.clone());
             let (closing, open) = (closing.clone(), open.clone());
+            let reader = reader.clone();
             async move {
-                let mut response = handler.handle(request).await;
+                let (parts, body) = request.into_parts();
+                let (body, state) = Incoming::new(body);
+                let mut response = handler.handle(Request::from_parts(parts, body)).await;
                 // A request behind the answer that announces the close isn't answered.
                 if (closing.is_cancelled() || open.is_closing()) && !activity.has_next() {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(CONNECTION, close);
+                    set_close(&mut response);
+                }
+                let answered = received.answered_body(&response, &state, activity.body_due());
+                let decided = answered.rest();
+                log_early_answer(&activity, response.status().as_u16(), &answered);
+                activity.leave_body(decided == BodyRest::Close);
+                match (decided, state.answer()) {
+                    (BodyRest::Nothing, _) | (BodyRest::Read, None) => {}
+                    (BodyRest::Read, Some(body)) => reader.begin(body, limits.header_timeout),
+                    (BodyRest::Close, _) => set_close(&mut response),
                 }
-                log_early_answer(&activity, response.status().as_u16());
                 activity.begin_response(response.status().as_u16() >= 400);
                 Ok::<_, Infallible>(response.map(|body| FollowedBody { body, activity }))
             }
         });
         let stream = FairStream::for_server(HyperStream::new_plain(stream), activity.clone());
-        if run(stream, service, limits, &token, &activity).await {
+        if run(stream, service, limits, &token, &activity, &rest).await {
             discard(&ending.socket).await;
         }
         drop(ending);
@@ -105,6 +125,56 @@
     }
 }
 
+/// What the answer to a request depends on besides its body.
+struct ReceivedRequest {
+    declared: Option<u64>,
+    is_expected: bool,
+    is_last: bool,
+}
+
+impl ReceivedRequest {
+    fn new(request: &Request<hyper::body::Incoming>) -> Self {
+        let headers = request.headers();
+        Self {
+            declared: request.body().size_hint().exact(),
+            is_expected: headers.contains_key(EXPECT),
+            is_last: has_option(headers, "close")
+                || request.version() < Version::HTTP_11 && !has_option(headers, "keep-alive"),
+        }
+    }
+
+    fn answered_body(
+        &self,
+        response: &Response<Body>,
+        state: &BodyState,
+        due: Option<u64>,
+    ) -> AnsweredBody {
+        let is_late = response.status() == StatusCode::REQUEST_TIMEOUT;
+        AnsweredBody {
+            is_read: state.is_ended(),
+            has_failed: state.has_failed() || is_late,
+            declared: self.declared,
+            due,
+            is_expected: self.is_expected,
+            is_last: self.is_last || has_option(response.headers(), "close"),
+        }
+    }
+}
+
+/// Returns whether the `Connection` headers contain `option`.
+fn has_option(headers: &HeaderMap, option: &str) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case(option))
+}
+
+fn set_close(response: &mut Response<Body>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 /// Runs a connection. Returns whether it has ended regularly and its client may still
 /// send bytes.
 async fn run<S>(
@@ -113,9 +183,14 @@
     limits: ServerLimits,
     token: &CancellationToken,
     activity: &Activity,
+    rest: &RestReader,
 ) -> bool
 where
-    S: Service<Request<Incoming>, Response = Response<FollowedBody>, Error = Infallible> + Unpin,
+    S: Service<
+            Request<hyper::body::Incoming>,
+            Response = Response<FollowedBody>,
+            Error = Infallible,
+        > + Unpin,
 {
     let mut builder = http1::Builder::new();
     builder
@@ -130,8 +205,14 @@
             if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
                 return Poll::Ready(Some(result));
             }
+            // The end of a body that nobody reads lets the connection go on, or end.
+            while rest.poll(cx).is_ready() {
+                if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                    return Poll::Ready(Some(result));
+                }
+            }
             let is_closing = closing.is_terminated() || closing.as_mut().poll(cx).is_ready();
-            if is_closing && activity.is_idle() {
+            if is_closing && activity.is_idle() && !rest.is_reading() {
                 return Poll::Ready(None);
             }
             Poll::Pending
@@ -143,6 +224,9 @@
                 log_break(activity, &cause);
                 return false;
             }
+            // The client has had time to read the answer, and a reset tells it that nothing
+            // behind it was read.
+            Some(Ok(())) if rest.has_expired() => return false,
             Some(Ok(())) => return !is_blank(&parts.read_buf) || activity.is_body_unread(),
             // The stream is dropped without a shutdown, which would let bytes be read
             // until it is done.
@@ -177,9 +261,9 @@
 }
 
 /// Logs an answer that is given before the end of the request's body.
-fn log_early_answer(activity: &Activity, status: u16) {
-    let due = activity.body_due().unwrap_or(0);
-    if due == 0 {
+fn log_early_answer(activity: &Activity, status: u16, answered: &AnsweredBody) {
+    let rest = answered.rest();
+    if rest == BodyRest::Nothing || answered.due == Some(0) {
         return;
     }
     let open = activity.open_request();
@@ -187,7 +271,8 @@
         target: "lycheehaven",
         request = open.as_ref().map_or("-", |open| open.id_text()),
         status = status,
-        due_bytes = due;
+        due_bytes = answered.due.map_or(-1, |due| due as i64),
+        closes = rest == BodyRest::Close;
         "answered before the end of the request's body"
     );
 }
--- a/crates/net/tests/server_stop.rs
+++ b/crates/net/tests/server_stop.rs
@@ -10,8 +10,8 @@
 
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use lycheehaven_net::Body;
+use lycheehaven_net::Incoming;
 use lycheehaven_net::OpenRequests;
 use lycheehaven_net::Phase;
 use lycheehaven_net::ServerLimits;
