Use a connection again only when the last request was written whole

Cause: an engine may answer before it has read a long body, keep the connection, and read on later. `hyper` takes the body as written once the stream below has buffered it, so the connection counted as ready while the body was still being written. The next request was put behind it, waited until the engine read on, and failed as one that may have run. Change: the stream tells whether bytes are not with the kernel yet, and a connection is ready only without any. The next request opens another connection.

--- a/crates/channels/src/connection.rs
+++ b/crates/channels/src/connection.rs
@@ -55,6 +55,8 @@
 pub struct Connection {
     sender: SendRequest<Body>,
     refusals: Refusals,
+    /// Whether a part of the last request was not passed to the kernel yet.
+    is_writing: Rc<Cell<bool>>,
     _driver: JoinHandle<()>,
     _count: CountGuard,
 }
@@ -79,12 +81,14 @@
         set_socket_options(&stream)
             .map_err(|cause| format!("can't set socket options: {cause}"))?;
         let stream = FairStream::for_client(HyperStream::new_plain(stream));
+        let is_writing = stream.is_writing();
         let (sender, connection) = http1::handshake(stream)
             .await
             .map_err(|cause| cause.to_string())?;
         Ok(Self {
             sender,
             refusals: Refusals::default(),
+            is_writing,
             _driver: spawn_driver(connection),
             _count: count,
         })
@@ -95,10 +99,11 @@
         self.sender.is_closed()
     }
 
-    /// Whether the connection can take another request. It can if it is open and its
-    /// last response is complete.
+    /// Whether the connection can take another request. It can if it is open, its last
+    /// response is complete, and so is the request before it: an upstream may answer before
+    /// it has read a long body.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+        self.sender.is_ready() && !self.sender.is_closed() && !self.is_writing.get()
     }
 
     /// Returns the refusals that came on the connection.
--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -1,5 +1,6 @@
 //! A connection that cannot keep the event loop busy on its own.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -42,6 +43,8 @@
     prefix: Bytes,
     /// What is told of the bytes of a server's connection.
     activity: Option<Rc<Activity>>,
+    /// Whether bytes were written that may not be with the kernel yet.
+    is_writing: Rc<Cell<bool>>,
 }
 
 impl<S> FairStream<S> {
@@ -72,9 +75,15 @@
             limit,
             prefix: Bytes::new(),
             activity: None,
+            is_writing: Rc::default(),
         }
     }
 
+    /// Returns what tells whether bytes were written that may not be with the kernel yet.
+    pub fn is_writing(&self) -> Rc<Cell<bool>> {
+        self.is_writing.clone()
+    }
+
     fn record_read(&self, bytes: &[u8]) {
         if let Some(activity) = &self.activity {
             activity.record_read(bytes);
@@ -134,11 +143,14 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.left = self.limit;
+        self.is_writing.set(true);
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.inner).poll_flush(cx);
+        self.is_writing
+            .set(self.is_writing.get() && !matches!(flushed, Poll::Ready(Ok(()))));
         if let (Poll::Ready(Ok(())), Some(activity)) = (&flushed, &self.activity) {
             activity.record_flush();
         }
