Read the answer of an upstream that resets while its request is being written

Cause: two faults of one place. `hyper` ends a connection at the first failed write, so a whole answer that came before a reset became our 502. And the failed write consumes the socket's error: a read that was polled before its result saw a regular end, and an answer without a length that a reset had cut counted as whole, a 200 with a part of the body. Change: a client's stream takes a failed write as written and reads on; the end of the stream while bytes are being written counts as the error of that write, if there is one. Conclusion: an answer before the end of the request is passed on as it was, or is a failure.

--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -45,6 +45,8 @@
     activity: Option<Rc<Activity>>,
     /// Whether bytes were written that may not be with the kernel yet.
     is_writing: Rc<Cell<bool>>,
+    /// Why a client can't write any more.
+    write_error: Option<io::ErrorKind>,
 }
 
 impl<S> FairStream<S> {
@@ -76,6 +78,7 @@
             prefix: Bytes::new(),
             activity: None,
             is_writing: Rc::default(),
+            write_error: None,
         }
     }
 
@@ -99,7 +102,34 @@
     }
 }
 
-impl<S: Read + Unpin> Read for FairStream<S> {
+impl<S: Write + Unpin> FairStream<S> {
+    /// Returns what the end of the stream is while bytes are being written. A write that
+    /// has failed has consumed the socket's error, so that a reset looks like a close.
+    fn end_within_a_write(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.write_error.is_none() {
+            let flushed = Pin::new(&mut self.inner).poll_flush(cx);
+            let _ = self.keep_reading(flushed, ());
+        }
+        Poll::Ready(match self.write_error {
+            Some(kind) => Err(io::Error::from(kind)),
+            None => Ok(()),
+        })
+    }
+
+    /// Lets a client read on after a failed write: a server may answer before it has read
+    /// the whole request, and close the connection.
+    fn keep_reading<T>(&mut self, polled: Poll<io::Result<T>>, done: T) -> Poll<io::Result<T>> {
+        match polled {
+            Poll::Ready(Err(cause)) if self.activity.is_none() => {
+                self.write_error = Some(cause.kind());
+                Poll::Ready(Ok(done))
+            }
+            polled => polled,
+        }
+    }
+}
+
+impl<S: Read + Write + Unpin> Read for FairStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -132,6 +162,10 @@
         }
         self.record_read(filled);
         buf.put_slice(filled);
+        let is_end = matches!(polled, Poll::Ready(Ok(()))) && filled.is_empty();
+        if is_end && self.is_writing.get() {
+            return self.end_within_a_write(cx);
+        }
         polled
     }
 }
@@ -144,13 +178,21 @@
     ) -> Poll<io::Result<usize>> {
         self.left = self.limit;
         self.is_writing.set(true);
-        Pin::new(&mut self.inner).poll_write(cx, bytes)
+        if self.write_error.is_some() {
+            return Poll::Ready(Ok(bytes.len()));
+        }
+        let written = Pin::new(&mut self.inner).poll_write(cx, bytes);
+        self.keep_reading(written, bytes.len())
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.write_error.is_some() {
+            return Poll::Ready(Ok(()));
+        }
         let flushed = Pin::new(&mut self.inner).poll_flush(cx);
-        self.is_writing
-            .set(self.is_writing.get() && !matches!(flushed, Poll::Ready(Ok(()))));
+        let is_done = matches!(flushed, Poll::Ready(Ok(())));
+        self.is_writing.set(self.is_writing.get() && !is_done);
+        let flushed = self.keep_reading(flushed, ());
         if let (Poll::Ready(Ok(())), Some(activity)) = (&flushed, &self.activity) {
             activity.record_flush();
         }
