Move the answer of a connection's request to a module of its own

Change: answering.rs holds it as a type with two short functions, with the body of a response and the log line of an early answer; nothing is decided differently.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 //! reached the server, which calls that are not repeatable depend on. [`spawn_loop`] and
 //! [`catch_panic`] see to it that a panic ends neither a loop nor a request without a trace.
 
+mod answering;
 mod body;
 mod client;
 mod continuity;
--- a/crates/net/src/server_connection.rs
+++ b/crates/net/src/server_connection.rs
@@ -8,10 +8,8 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -22,34 +20,23 @@
 use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use futures_util::future::FusedFuture;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::Version;
-use hyper::body::Body as _;
-use hyper::body::Bytes;
-use hyper::body::Frame;
-use hyper::body::SizeHint;
-use hyper::header::CONNECTION;
-use hyper::header::EXPECT;
-use hyper::header::HeaderValue;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::Service;
 use hyper::service::service_fn;
 use socket2::SockRef;
 use tokio_util::sync::CancellationToken;
 
-use crate::AnsweredBody;
-use crate::Body;
-use crate::BodyRest;
 use crate::FairStream;
 use crate::Handler;
-use crate::Incoming;
 use crate::OpenRequests;
 use crate::Phase;
 use crate::ServerLimits;
-use crate::incoming::BodyState;
+use crate::answering::FollowedBody;
+use crate::answering::Responder;
 use crate::incoming::RestReader;
 use crate::open_requests::Activity;
 use crate::open_requests::is_blank;
@@ -83,38 +70,20 @@
             version: Rc::new(Cell::new(Version::HTTP_11)),
             activity: activity.clone(),
         };
-        let handler = Rc::new(handler);
-        let (closing, version) = (token.clone(), ending.version.clone());
-        let follower = activity.clone();
         let rest = Rc::new(RestReader::default());
-        let reader = rest.clone();
-        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+        let responder = Rc::new(Responder {
+            handler,
+            activity: activity.clone(),
+            token: token.clone(),
+            open,
+            rest: rest.clone(),
+            rest_wait: limits.header_timeout,
+        });
+        let version = ending.version.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
             version.set(request.version());
-            follower.begin_handling(request.headers(), request.body().size_hint().exact());
-            let received = ReceivedRequest::new(&request);
-            let (handler, activity) = (handler.clone(), follower.clone());
-            let (closing, open) = (closing.clone(), open.clone());
-            let reader = reader.clone();
-            async move {
-                let (parts, body) = request.into_parts();
-                let (body, state) = Incoming::new(body);
-                let mut response = handler.handle(Request::from_parts(parts, body)).await;
-                // A request behind the answer that announces the close isn't answered.
-                if (closing.is_cancelled() || open.is_closing()) && !activity.has_next() {
-                    set_close(&mut response);
-                }
-                let answered = received.answered_body(&response, &state, activity.body_due());
-                let decided = answered.rest();
-                log_early_answer(&activity, response.status().as_u16(), &answered);
-                activity.leave_body(decided == BodyRest::Close);
-                match (decided, state.answer()) {
-                    (BodyRest::Nothing, _) | (BodyRest::Read, None) => {}
-                    (BodyRest::Read, Some(body)) => reader.begin(body, limits.header_timeout),
-                    (BodyRest::Close, _) => set_close(&mut response),
-                }
-                activity.begin_response(response.status().as_u16() >= 400);
-                Ok::<_, Infallible>(response.map(|body| FollowedBody { body, activity }))
-            }
+            let responder = responder.clone();
+            async move { Ok::<_, Infallible>(responder.respond(request).await) }
         });
         let stream = FairStream::for_server(HyperStream::new_plain(stream), activity.clone());
         if run(stream, service, limits, &token, &activity, &rest).await {
@@ -125,56 +94,6 @@
     }
 }
 
-/// What the answer to a request depends on besides its body.
-struct ReceivedRequest {
-    declared: Option<u64>,
-    is_expected: bool,
-    is_last: bool,
-}
-
-impl ReceivedRequest {
-    fn new(request: &Request<hyper::body::Incoming>) -> Self {
-        let headers = request.headers();
-        Self {
-            declared: request.body().size_hint().exact(),
-            is_expected: headers.contains_key(EXPECT),
-            is_last: has_option(headers, "close")
-                || request.version() < Version::HTTP_11 && !has_option(headers, "keep-alive"),
-        }
-    }
-
-    fn answered_body(
-        &self,
-        response: &Response<Body>,
-        state: &BodyState,
-        due: Option<u64>,
-    ) -> AnsweredBody {
-        let is_late = response.status() == StatusCode::REQUEST_TIMEOUT;
-        AnsweredBody {
-            is_read: state.is_ended(),
-            has_failed: state.has_failed() || is_late,
-            declared: self.declared,
-            due,
-            is_expected: self.is_expected,
-            is_last: self.is_last || has_option(response.headers(), "close"),
-        }
-    }
-}
-
-/// Returns whether the `Connection` headers contain `option`.
-fn has_option(headers: &HeaderMap, option: &str) -> bool {
-    let values = headers.get_all(CONNECTION).iter();
-    values
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|token| token.trim().eq_ignore_ascii_case(option))
-}
-
-fn set_close(response: &mut Response<Body>) {
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-}
-
 /// Runs a connection. Returns whether it has ended regularly and its client may still
 /// send bytes.
 async fn run<S>(
@@ -186,11 +105,7 @@
     rest: &RestReader,
 ) -> bool
 where
-    S: Service<
-            Request<hyper::body::Incoming>,
-            Response = Response<FollowedBody>,
-            Error = Infallible,
-        > + Unpin,
+    S: Service<Request<Incoming>, Response = Response<FollowedBody>, Error = Infallible> + Unpin,
 {
     let mut builder = http1::Builder::new();
     builder
@@ -260,23 +175,6 @@
     );
 }
 
-/// Logs an answer that is given before the end of the request's body.
-fn log_early_answer(activity: &Activity, status: u16, answered: &AnsweredBody) {
-    let rest = answered.rest();
-    if rest == BodyRest::Nothing || answered.due == Some(0) {
-        return;
-    }
-    let open = activity.open_request();
-    log::info!(
-        target: "lycheehaven",
-        request = open.as_ref().map_or("-", |open| open.id_text()),
-        status = status,
-        due_bytes = answered.due.map_or(-1, |due| due as i64),
-        closes = rest == BodyRest::Close;
-        "answered before the end of the request's body"
-    );
-}
-
 /// Returns once the connection has to close as soon as no request is open on it.
 async fn close_time(token: &CancellationToken, activity: &Activity) {
     token.cancelled().await;
@@ -335,35 +233,3 @@
         }
     }
 }
-
-/// The body of a response, which tells when it was passed on whole.
-struct FollowedBody {
-    body: Body,
-    activity: Rc<Activity>,
-}
-
-impl hyper::body::Body for FollowedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Drop for FollowedBody {
-    fn drop(&mut self) {
-        self.activity.end_response();
-    }
-}
