--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,11 +8,14 @@
 //! reached the server, which calls that are not repeatable depend on. [`spawn_loop`] and
 //! [`catch_panic`] see to it that a panic ends neither a loop nor a request without a trace.
 
+mod answering;
 mod body;
 mod client;
 mod continuity;
+mod early_answer;
 mod fair_stream;
 mod framing;
+mod incoming;
 mod open_requests;
 mod request_bounds;
 mod server;
@@ -34,8 +37,11 @@
 pub use client::Reply;
 pub use continuity::Continuity;
 pub use continuity::Discontinuity;
+pub use early_answer::AnsweredBody;
+pub use early_answer::BodyRest;
 pub use fair_stream::FairStream;
 pub use framing::Framing;
+pub use incoming::Incoming;
 pub use open_requests::OpenRequest;
 pub use open_requests::OpenRequests;
 pub use open_requests::Phase;
--- a/crates/net/src/server_connection.rs
+++ b/crates/net/src/server_connection.rs
@@ -8,10 +8,8 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -25,25 +23,21 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::Version;
-use hyper::body::Body as _;
-use hyper::body::Bytes;
-use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::body::SizeHint;
-use hyper::header::CONNECTION;
-use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::Service;
 use hyper::service::service_fn;
 use socket2::SockRef;
 use tokio_util::sync::CancellationToken;
 
-use crate::Body;
 use crate::FairStream;
 use crate::Handler;
 use crate::OpenRequests;
 use crate::Phase;
 use crate::ServerLimits;
+use crate::answering::FollowedBody;
+use crate::answering::Responder;
+use crate::incoming::RestReader;
 use crate::open_requests::Activity;
 use crate::open_requests::is_blank;
 
@@ -76,27 +70,23 @@
             version: Rc::new(Cell::new(Version::HTTP_11)),
             activity: activity.clone(),
         };
-        let handler = Rc::new(handler);
-        let (closing, version) = (token.clone(), ending.version.clone());
-        let follower = activity.clone();
+        let rest = Rc::new(RestReader::default());
+        let responder = Rc::new(Responder {
+            handler,
+            activity: activity.clone(),
+            token: token.clone(),
+            open,
+            rest: rest.clone(),
+            rest_wait: limits.header_timeout,
+        });
+        let version = ending.version.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             version.set(request.version());
-            follower.begin_handling(request.headers(), request.body().size_hint().exact());
-            let (handler, activity) = (handler.clone(), follower.clone());
-            let (closing, open) = (closing.clone(), open.clone());
-            async move {
-                let mut response = handler.handle(request).await;
-                // A request behind the answer that announces the close isn't answered.
-                if (closing.is_cancelled() || open.is_closing()) && !activity.has_next() {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(CONNECTION, close);
-                }
-                activity.begin_response(response.status().as_u16() >= 400);
-                Ok::<_, Infallible>(response.map(|body| FollowedBody { body, activity }))
-            }
+            let responder = responder.clone();
+            async move { Ok::<_, Infallible>(responder.respond(request).await) }
         });
         let stream = FairStream::for_server(HyperStream::new_plain(stream), activity.clone());
-        if run(stream, service, limits, &token, &activity).await {
+        if run(stream, service, limits, &token, &activity, &rest).await {
             discard(&ending.socket).await;
         }
         drop(ending);
@@ -112,6 +102,7 @@
     limits: ServerLimits,
     token: &CancellationToken,
     activity: &Activity,
+    rest: &RestReader,
 ) -> bool
 where
     S: Service<Request<Incoming>, Response = Response<FollowedBody>, Error = Infallible> + Unpin,
@@ -129,8 +120,14 @@
             if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
                 return Poll::Ready(Some(result));
             }
+            // The end of a body that nobody reads lets the connection go on, or end.
+            while rest.poll(cx).is_ready() {
+                if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                    return Poll::Ready(Some(result));
+                }
+            }
             let is_closing = closing.is_terminated() || closing.as_mut().poll(cx).is_ready();
-            if is_closing && activity.is_idle() {
+            if is_closing && activity.is_idle() && !rest.is_reading() {
                 return Poll::Ready(None);
             }
             Poll::Pending
@@ -142,6 +139,9 @@
                 log_break(activity, &cause);
                 return false;
             }
+            // The client has had time to read the answer, and a reset tells it that nothing
+            // behind it was read.
+            Some(Ok(())) if rest.has_expired() => return false,
             Some(Ok(())) => return !is_blank(&parts.read_buf) || activity.is_body_unread(),
             // The stream is dropped without a shutdown, which would let bytes be read
             // until it is done.
@@ -187,19 +187,27 @@
 /// the connection. The close of a connection with unread bytes is a reset, which
 /// destroys the part of an answer that the client has not received.
 async fn discard(mut socket: &TcpStream) {
+    let bytes = Cell::new(0);
     let read = async {
         let mut buffer = Vec::with_capacity(DISCARD_BYTES);
         loop {
             buffer.clear();
             let BufResult(length, returned) = socket.read(buffer).await;
             buffer = returned;
-            if !length.is_ok_and(|length| length > 0) {
-                return;
+            match length {
+                Ok(length) if length > 0 => bytes.set(bytes.get() + length),
+                Ok(_) | Err(_) => return,
             }
         }
     };
-    if compio::time::timeout(LINGER_TIME, read).await.is_err() {
-        log::debug!(target: "lycheehaven", "a client still sends behind its last answer");
+    let is_closed = compio::time::timeout(LINGER_TIME, read).await.is_ok();
+    if bytes.get() > 0 || !is_closed {
+        log::info!(
+            target: "lycheehaven",
+            bytes = bytes.get(),
+            closed_by_client = is_closed;
+            "discarded what a client sent behind its last answer"
+        );
     }
 }
 
@@ -225,35 +233,3 @@
         }
     }
 }
-
-/// The body of a response, which tells when it was passed on whole.
-struct FollowedBody {
-    body: Body,
-    activity: Rc<Activity>,
-}
-
-impl hyper::body::Body for FollowedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Drop for FollowedBody {
-    fn drop(&mut self) {
-        self.activity.end_response();
-    }
-}
