Pass on a whole answer of no declared type on a streaming route

Cause: an engine's 200 without Content-Type on a 'streaming' route, signed and of a length that was reached, became our 502 ('the response of the upstream ended within an event'): what is not declared is split into events, and a body without an empty line at its end was taken for a stream that was cut.

Change: the first response of a stream that declares nothing, and that has a length or chunks which reach their end, is whole if none of its lines is a field of an event (relay/ending.rs, which takes the functions about a run's end from relay.rs). It may be as large as any other answer. Without framing, or after a field of an event, it is a cut stream as before; so is the answer to a caller that resumes. A further run must still show by its events that it continues the stream, and is never taken for a text.

Conclusion: mended at the gateway. The own interface's engines end with a finish event, so an answer of no type is never whole there without one.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays the events of a stream to the caller and continues the stream at
 //! another upstream when the current one leaves or fails.
 
+mod ending;
 mod moves;
 mod resume;
 mod silence;
@@ -48,6 +49,7 @@
 use crate::quarantine;
 use crate::quarantine::RunInfo;
 use crate::quarantine::TrialGuard;
+use crate::relay::ending::BodyKind;
 use crate::relay::resume::Patience;
 use crate::serve;
 
@@ -62,6 +64,7 @@
     body: Incoming,
     head: ResponseHead,
     framing: Framing,
+    kind: BodyKind,
     /// Complete events that this run has produced.
     events: usize,
     info: RunInfo,
@@ -84,6 +87,7 @@
             body,
             head: upstream_response.head,
             framing: Framing::of(&parts.headers),
+            kind: BodyKind::Events,
             events: 0,
             info: upstream_response.run,
             began: now,
@@ -144,7 +148,10 @@
 ) -> Result<Response<Body>, String> {
     let state = StreamState::new(job, &upstream_response.upstream, node.now());
     let stream_id = node.streams.borrow_mut().add(state.clone());
-    let (parts, run) = Run::begin(upstream_response, node.now());
+    let (parts, mut run) = Run::begin(upstream_response, node.now());
+    if job.head.last_event.is_none() {
+        run.kind = BodyKind::of_first_run(&run.head, run.framing);
+    }
     let mut relay = Relay {
         node: node.clone(),
         job: job.clone(),
@@ -238,7 +245,7 @@
                 Input::End => self.handle_end().await?,
                 Input::Broken(cause) => self.recover(cause).await?,
             }
-            if self.splitter.is_oversized() {
+            if self.splitter.is_oversized() && !self.holds_text() {
                 self.recover("the upstream sent an event that is too large".into())
                     .await?;
             }
@@ -253,6 +260,9 @@
                 self.discontinuity = Some(cause);
                 break;
             }
+            if let Some(run) = &mut self.run {
+                run.kind = run.kind.after(event.content);
+            }
             self.pending.push_back(event.bytes);
         }
         self.state.set_resumable(self.continuity.is_resumable());
@@ -313,57 +323,6 @@
         }
     }
 
-    /// Returns why the regular end of an upstream's response is not the end of its
-    /// stream, or `None` if the stream is complete. An upstream that fails may close
-    /// its connection as it does after a response whose length it did not declare.
-    fn truncation(&self) -> Option<&'static str> {
-        let run = self.run.as_ref()?;
-        if self.splitter.is_within_event() {
-            return Some("the response of the upstream ended within an event");
-        }
-        match run.framing {
-            Framing::Length | Framing::Chunked => None,
-            Framing::UntilClose if run.events == 0 => {
-                Some("the upstream closed the connection before the first event")
-            }
-            Framing::UntilClose if self.state.may_be_stopped() => {
-                Some("the upstream closed the connection after an attempt to move the run")
-            }
-            Framing::UntilClose => None,
-        }
-    }
-
-    /// Checks that the regular end of the run is that of the stream. It is if the stream
-    /// has as many tokens as the caller asked for at most.
-    fn check_end(&self) -> Result<(), Discontinuity> {
-        let declared = self.job.output_tokens();
-        if declared > 0 && self.state.relayed_tokens.get() >= declared {
-            return Ok(());
-        }
-        self.continuity.check_end()
-    }
-
-    /// Logs the regular end of an upstream's response if its framing does not prove
-    /// that it is complete, or if it ends within an event.
-    fn log_end(&self) {
-        let Some(run) = &self.run else {
-            return;
-        };
-        if run.framing != Framing::UntilClose && self.splitter.is_empty() {
-            return;
-        }
-        log::info!(
-            target: "lycheehaven",
-            request = self.job.id(),
-            route = &*self.job.route.name,
-            upstream = &*run.key.id,
-            framing = run.framing.name(),
-            last_event = self.continuity.last().unwrap_or(0),
-            incomplete_bytes = self.splitter.pending();
-            "the response of the upstream ended without proof that it is complete"
-        );
-    }
-
     fn finish(&mut self) {
         if !self.splitter.is_empty() {
             self.pending.push_back(self.splitter.take_rest());
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -35,7 +35,7 @@
 use crate::relay;
 
 /// Largest response that is buffered before it is passed to the caller.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// Number of unreachable upstreams after which a request fails.
 pub(crate) const MAX_UNREACHABLE_UPSTREAMS: usize = 4;
--- a/crates/net/src/sse_event.rs
+++ b/crates/net/src/sse_event.rs
@@ -52,7 +52,8 @@
     Unknown,
 }
 
-fn content(event: &[u8]) -> SseContent {
+/// Returns what the lines of an event are, also of one that is not complete.
+pub(crate) fn content(event: &[u8]) -> SseContent {
     let kinds: Vec<Line> = lines(event).enumerate().map(kind).collect();
     let has = |kind: Line| kinds.contains(&kind);
     let has_status = event
--- a/crates/net/src/sse_splitter.rs
+++ b/crates/net/src/sse_splitter.rs
@@ -4,7 +4,9 @@
 
 use hyper::body::Bytes;
 
+use crate::SseContent;
 use crate::SseEvent;
+use crate::sse_event::content;
 
 /// Largest event.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -57,6 +59,11 @@
         self.buffer.iter().any(|byte| !is_line_break(*byte))
     }
 
+    /// Returns what the bytes after the last complete event are so far.
+    pub fn rest_content(&self) -> SseContent {
+        content(&self.buffer)
+    }
+
     /// Returns the end of the first event, which is after an empty line.
     fn find_end(&mut self) -> Option<usize> {
         // The line break before an empty line may be among the last bytes
