Show that the own interface takes no cut answer of its platform, peers and engines as whole

Nothing found; the tests stay.

Change: tests/all/cut_calls.rs (object read, watched, written, deleted; lists; VM list, notices, orders; the exchange of peers, every byte, by close and by reset, in three framings) and tests/all/cut_heads.rs (an entry process, 10 places of a head by close and by reset, a stream and a call that may run once). The server that cuts answers moves from the tests of crates/upstream to the stand-ins (CutResponse), and its heads say 'Connection: close'.

Not told from whole answers: a whole head without a length whose body is cut, where only the status is read or the body is any text.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod client;
 mod cluster;
+mod cut_response;
 mod engine;
 mod engine_api;
 mod entry_process;
@@ -29,6 +30,9 @@
 pub use cluster::WORKSPACE_KEY;
 pub use cluster::ephemeral_addr;
 pub use cluster::wait_until;
+pub use cut_response::Cut;
+pub use cut_response::CutFraming;
+pub use cut_response::CutResponse;
 pub use engine::EngineParams;
 pub use engine::EngineState;
 pub use engine::Execution;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,8 @@
 mod claims;
 mod configuration;
 mod continuation;
+mod cut_calls;
+mod cut_heads;
 mod odd_values;
 mod partition;
 mod path;
