--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,8 @@
 mod claims;
 mod configuration;
 mod continuation;
+mod cut_calls;
+mod cut_heads;
 mod early_answers;
 mod odd_values;
 mod partition;
