--- /dev/null
+++ b/tests/all/late_in_stop.rs
@@ -0,0 +1,352 @@
+//! Requests whose bodies come late in the time that their entry has to stop.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use lycheehaven_standins::Cluster;
+use lycheehaven_standins::RawRequest;
+use lycheehaven_standins::RawServer;
+use lycheehaven_standins::WORKSPACE_KEY;
+use lycheehaven_standins::wait_until;
+use serde_json::json;
+
+use crate::raw_engine::is_completion;
+use crate::raw_engine::respond_as_engine;
+use crate::support::DAEMON;
+use crate::support::run;
+
+/// The time to stop: 1 s until no connection is accepted, 4 s to finish.
+const DRAIN: &str = "[drain]\nlag_ms = 1000\nfinish_ms = 4000";
+
+/// Most time from the signal to the end of the process.
+const EXIT_WAIT: Duration = Duration::from_secs(12);
+
+/// Longest wait of a caller.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time from the heads of the later requests to the signal, and from it to the earlier
+/// ones.
+const HEAD_OFFSET: Duration = Duration::from_millis(300);
+
+/// Milliseconds after the signal at which bodies end.
+const BODY_ENDS: std::ops::Range<u64> = 500..7_000;
+
+/// Step between the ends of two bodies, in milliseconds.
+const BODY_STEP: usize = 500;
+
+/// Events of a streamed answer.
+const EVENTS: u64 = 10;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Repeatable,
+    Once,
+    Buffered,
+    Stream,
+}
+
+const KINDS: [Kind; 4] = [Kind::Repeatable, Kind::Once, Kind::Buffered, Kind::Stream];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The whole answer.
+    Served,
+    /// An answer that says that the request did not run, and when to return.
+    Refused,
+    /// Another whole answer, or the end of a stream with its reason.
+    Failed,
+    /// No answer, or a part of one.
+    Cut,
+}
+
+/// Ends by kind and second after the signal at which the body ended, in the order served,
+/// refused, failed, cut.
+#[derive(Default)]
+struct Ends(BTreeMap<(Kind, u64), [usize; 4]>);
+
+impl fmt::Display for Ends {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "kind, second: served, refused, failed, cut")?;
+        for ((kind, second), counts) in &self.0 {
+            writeln!(f, "{kind:?} {second}: {counts:?}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Ends {
+    fn count(&self, end: End) -> usize {
+        self.0.values().map(|counts| counts[end as usize]).sum()
+    }
+}
+
+/// A request of the test. Its marker is part of what its upstream receives.
+#[derive(Debug, Clone)]
+struct Late {
+    kind: Kind,
+    marker: String,
+    body_end: Duration,
+    head: String,
+    body: String,
+}
+
+fn late(kind: Kind, addr: SocketAddr, marker: &str, body_end: Duration) -> Late {
+    let stream = kind == Kind::Stream;
+    let (line, body) = match kind {
+        Kind::Repeatable => (
+            format!("GET /v1/services/hinnalaud/price/{marker}"),
+            "{}".into(),
+        ),
+        Kind::Once => (
+            format!("POST /v1/services/hinnalaud/quote/{marker}"),
+            "{}".into(),
+        ),
+        Kind::Buffered | Kind::Stream => (
+            "POST /v1/completions".to_owned(),
+            json!({"model": "poleer-llm", "prompt": marker, "stream": stream}).to_string(),
+        ),
+    };
+    let key = uuid::Uuid::now_v7();
+    let length = body.len();
+    let head = format!(
+        "{line} HTTP/1.1\r\nHost: {addr}\r\nAuthorization: Bearer {WORKSPACE_KEY}\r\n\
+         Idempotency-Key: {key}\r\nContent-Length: {length}\r\n\r\n"
+    );
+    Late {
+        kind,
+        marker: marker.into(),
+        body_end,
+        head,
+        body,
+    }
+}
+
+/// Reads until the answer is whole, the connection ends or `until` passes. Returns whether
+/// the connection may go on.
+fn read_until(stream: &mut TcpStream, received: &mut Vec<u8>, until: Instant) -> bool {
+    let mut buffer = [0; 4096];
+    while !is_whole(received) {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return true;
+        }
+        stream
+            .set_read_timeout(Some(left))
+            .expect("a time that is left");
+        match stream.read(&mut buffer) {
+            Ok(0) => return false,
+            Ok(length) => received.extend_from_slice(&buffer[..length]),
+            Err(cause) if cause.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
+fn is_whole(received: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(received);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let head = head.to_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    match length.and_then(|length| length.parse::<usize>().ok()) {
+        Some(length) => body.len() >= length,
+        None => body.ends_with("0\r\n\r\n"),
+    }
+}
+
+/// Sends a request whose body ends late, as a caller that reads meanwhile.
+fn send(addr: SocketAddr, request: &Late, signal: Instant) -> String {
+    let mut received = Vec::new();
+    let Ok(mut stream) = TcpStream::connect(addr) else {
+        return String::new();
+    };
+    let (first, last) = request.body.split_at(request.body.len() - 1);
+    let begin = format!("{}{first}", request.head);
+    if stream.write_all(begin.as_bytes()).is_err() {
+        return String::new();
+    }
+    if read_until(&mut stream, &mut received, signal + request.body_end)
+        && stream.write_all(last.as_bytes()).is_ok()
+    {
+        read_until(&mut stream, &mut received, signal + CALLER_TIMEOUT);
+    }
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+fn end_of(received: &str) -> End {
+    let status = received.split(' ').nth(1).unwrap_or_default();
+    let is_refusal = received.contains("\"outcome\":\"not_run\"");
+    match status {
+        _ if !is_whole(received.as_bytes()) => End::Cut,
+        "200" if received.contains("event: ") => End::Failed,
+        "200" => End::Served,
+        "503" if is_refusal && received.to_lowercase().contains("\r\nretry-after: ") => {
+            End::Refused
+        }
+        _ => End::Failed,
+    }
+}
+
+/// Starts a plain service whose calls take `work`.
+fn service(work: Duration) -> RawServer {
+    RawServer::start(move |_: &RawRequest, stream: &mut TcpStream| {
+        std::thread::sleep(work);
+        // The entry may have closed the connection.
+        let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    })
+}
+
+/// Starts an engine whose answers take `work`.
+fn engine(work: Duration) -> RawServer {
+    RawServer::start(move |request: &RawRequest, stream: &mut TcpStream| {
+        if !is_completion(request) {
+            return respond_as_engine(request, stream, "", None);
+        }
+        let mut text = "HTTP/1.1 200 OK\r\n\r\n".to_owned();
+        for offset in 0..=EVENTS {
+            let finish = (offset == EVENTS).then_some("stop");
+            let token = if finish.is_some() { "" } else { "t " };
+            let choices = json!([{"text": token, "finish_reason": finish}]);
+            let event = json!({"offset": offset, "choices": choices});
+            text += &format!("data: {event}\n\n");
+            if stream.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+            text.clear();
+            std::thread::sleep(work / EVENTS as u32);
+        }
+    })
+}
+
+fn ran(server: &RawServer, marker: &str) -> usize {
+    let received = server.received();
+    let is_run = |request: &&RawRequest| {
+        request.path().ends_with(&format!("/{marker}"))
+            || String::from_utf8_lossy(&request.body).contains(&format!("\"{marker}\""))
+    };
+    received.iter().filter(is_run).count()
+}
+
+/// Plays a stop of an entry that has `peers` others, with requests that take `work`.
+async fn play(work: Duration, peers: usize) -> Ends {
+    let servers = [service(work), engine(work)];
+    let mut cluster = Cluster::new(DAEMON);
+    cluster.extra_settings = DRAIN.into();
+    for (server, name) in servers.iter().zip(["hinnalaud", "poleer-llm"]) {
+        let mut platform = cluster.platform.state();
+        platform.add_vm(&format!("raw-{name}"), "arima", name, server.addr());
+    }
+    for index in 0..=peers {
+        cluster.add_entry(&format!("entry-{index}"), "arima");
+    }
+    cluster.wait_until_joined().await;
+    cluster.declare_default().await;
+    let addr = cluster.entries[0].listen;
+    // The entry learns how long requests take.
+    let first = KINDS.map(|kind| late(kind, addr, &format!("first-{kind:?}"), Duration::ZERO));
+    for (request, received) in first
+        .iter()
+        .zip(send_all(addr, &first, Instant::now()).await)
+    {
+        assert_eq!(end_of(&received), End::Served, "{request:?}: {received}");
+    }
+    let signal = Instant::now() + HEAD_OFFSET;
+    let earlier = requests(addr, "earlier");
+    let later = requests(addr, "later");
+    let stop = async {
+        compio::time::sleep_until(signal).await;
+        cluster.entries[0].terminate();
+    };
+    let later_sends = async {
+        compio::time::sleep_until(signal + HEAD_OFFSET).await;
+        send_all(addr, &later, signal).await
+    };
+    let earlier_sends = send_all(addr, &earlier, signal);
+    let (earlier_received, later_received, ()) =
+        futures_util::future::join3(earlier_sends, later_sends, stop).await;
+    let mut ends = Ends::default();
+    let requests = earlier.iter().chain(&later);
+    for (request, received) in requests.zip(earlier_received.iter().chain(&later_received)) {
+        let end = end_of(received);
+        let runs: usize = servers
+            .iter()
+            .map(|server| ran(server, &request.marker))
+            .sum();
+        assert!(
+            end != End::Refused || runs == 0,
+            "{request:?} ran: {received}"
+        );
+        assert!(
+            request.kind != Kind::Once || runs <= 1,
+            "{request:?} ran {runs} times"
+        );
+        let key = (request.kind, request.body_end.as_secs());
+        ends.0.entry(key).or_default()[end as usize] += 1;
+    }
+    assert!(
+        cluster.entries[0].wait(EXIT_WAIT),
+        "the entry does not exit"
+    );
+    ends
+}
+
+fn requests(addr: SocketAddr, name: &str) -> Vec<Late> {
+    let ends = BODY_ENDS.step_by(BODY_STEP);
+    let all = ends.flat_map(|end| KINDS.map(|kind| (end, kind)));
+    all.map(|(end, kind)| {
+        let marker = format!("{name}-{end}-{kind:?}");
+        late(kind, addr, &marker, Duration::from_millis(end))
+    })
+    .collect()
+}
+
+async fn send_all(addr: SocketAddr, requests: &[Late], signal: Instant) -> Vec<String> {
+    let threads: Vec<_> = requests
+        .iter()
+        .cloned()
+        .map(|request| std::thread::spawn(move || send(addr, &request, signal)))
+        .collect();
+    wait_until("the callers to end", || {
+        threads.iter().all(std::thread::JoinHandle::is_finished)
+    })
+    .await;
+    let joined = threads.into_iter().map(std::thread::JoinHandle::join);
+    joined
+        .map(|received| received.expect("the caller does not panic"))
+        .collect()
+}
+
+fn check(work_ms: u64, peers: usize) {
+    let ends = run(play(Duration::from_millis(work_ms), peers));
+    assert!(ends.count(End::Served) > 0, "{ends}");
+    assert!(ends.count(End::Refused) > 0, "{ends}");
+    assert_eq!(ends.count(End::Cut), 0, "{ends}");
+}
+
+/// Guards against an end of the process without answers to requests that still run.
+#[test]
+fn requests_of_one_second_late_in_a_stop_are_answered() {
+    check(1_000, 0);
+}
+
+/// Guards against an end of the process without answers to requests that still run.
+#[test]
+fn requests_of_three_seconds_late_in_a_stop_are_answered() {
+    check(3_000, 0);
+}
+
+/// Guards against an end of the process without answers to requests that still run.
+#[test]
+fn requests_of_three_seconds_late_in_a_stop_beside_a_peer_are_answered() {
+    check(3_000, 1);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod configuration;
 mod continuation;
+mod late_in_stop;
 mod odd_values;
 mod partition;
 mod path;
