--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -51,8 +51,7 @@
         (&Method::GET, "/admin/status") => Ok(json_response(200, &status(node))),
         (&Method::GET, "/admin/vms") => Ok(json_response(200, &vms(node))),
         (&Method::POST, "/admin/drain") => {
-            node.draining.set(true);
-            node.drain_notify.notify_waiters();
+            node.begin_stop();
             Ok(json_response(202, &json!({"draining": true})))
         }
         (&Method::GET, "/admin/limits") => Ok(json_response(200, &permits::views(node))),
@@ -122,8 +121,8 @@
         "domain": node.settings.domain,
         "region": node.settings.region,
         "version": env!("CARGO_PKG_VERSION"),
-        "ready": node.ready.get() && !node.draining.get(),
-        "draining": node.draining.get(),
+        "ready": node.ready.get() && !node.shutdown.is_begun(),
+        "draining": node.shutdown.is_begun(),
         "config": node.declared().number,
         "requests": node.records.borrow().len(),
         "open": node.limiter.borrow().in_flight(),
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -33,6 +33,8 @@
 use crate::node::Node;
 use crate::notice;
 use crate::permits;
+use crate::shutdown;
+use crate::shutdown::Work;
 
 /// Upstreams attempted per call.
 pub(crate) const UPSTREAM_ATTEMPTS: usize = 3;
@@ -90,9 +92,9 @@
 
 /// Returns the failure of a call that was sent to no upstream, with the time to return if
 /// they all want or take no requests now.
-pub(crate) fn unavailable(node: &Node, service: &str) -> Failure {
+pub(crate) fn unavailable(node: &Node, service: &Name, work: Work) -> Failure {
     let message = "no upstream of the service accepted the call";
-    complete::check_available(node, service)
+    complete::check_available(node, service, work)
         .err()
         .unwrap_or_else(|| Failure::new(ErrorKind::NoUpstream, message))
 }
@@ -115,7 +117,9 @@
     subject: &str,
 ) -> Reply {
     let stream = open(node, target).await?;
-    Run::begin(node, target).answer(stream, call, subject).await
+    Run::begin(node, target, Work::Once)
+        .answer(stream, call, subject)
+        .await
 }
 
 /// Connects to an upstream and obtains the permit for one call, which must be sent at once.
@@ -141,11 +145,12 @@
 struct Run {
     node: Rc<Node>,
     target: Target,
+    work: Work,
     sent: Instant,
 }
 
 impl Run {
-    fn begin(node: &Rc<Node>, target: &Target) -> Self {
+    fn begin(node: &Rc<Node>, target: &Target, work: Work) -> Self {
         let sent = node.now();
         let mut upstreams = node.upstreams.borrow_mut();
         upstreams.record_open(&target.vm, 0, &[], sent);
@@ -153,6 +158,7 @@
         Self {
             node: node.clone(),
             target: target.clone(),
+            work,
             sent,
         }
     }
@@ -172,7 +178,11 @@
         let mut upstreams = node.upstreams.borrow_mut();
         upstreams.record_success(vm);
         upstreams.record_heard(vm, now);
+        let service = upstreams.get(vm).map(|upstream| upstream.service.clone());
         drop(upstreams);
+        if let Some(service) = service {
+            node.shutdown.record_run(&service, self.work, self.sent);
+        }
         let incarnation = self.target.incarnation;
         notice::apply(node, vm, incarnation, reply.notice, self.sent, subject);
         Ok(reply.response)
@@ -201,9 +211,11 @@
         has_left: Cell::new(false),
     };
     let left = node.time_left(node.now());
-    match compio::time::timeout(left, attempts.run()).await {
-        Ok(result) => result,
-        Err(_) => Err(deadline_failure(attempts.sent.get() > 0)),
+    let is_sent = || attempts.sent.get() > 0;
+    select! {
+        result = attempts.run().fuse() => result,
+        () = compio::time::sleep(left).fuse() => Err(deadline_failure(is_sent())),
+        () = node.shutdown.work_end().fuse() => Err(shutdown::not_ended(is_sent())),
     }
 }
 
@@ -251,16 +263,17 @@
                 }
             }
         }
-        lost.unwrap_or_else(|| Err(unavailable(self.node, self.service)))
+        lost.unwrap_or_else(|| Err(unavailable(self.node, self.service, Work::Repeatable)))
     }
 
     fn has_more(&self) -> bool {
         self.sent.get() < UPSTREAM_ATTEMPTS
+            && complete::can_end(self.node, self.service, Work::Repeatable)
     }
 
     fn start(&self, target: Target, stream: TcpStream) -> Running<'a> {
         self.sent.set(self.sent.get() + 1);
-        let run = Run::begin(self.node, &target);
+        let run = Run::begin(self.node, &target, Work::Repeatable);
         let sent = run.sent;
         Running {
             target,
--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -11,7 +11,6 @@
 use lycheehaven_limits::Rejection;
 use lycheehaven_net::Body;
 use lycheehaven_net::json_response;
-use lycheehaven_net::read_body;
 use lycheehaven_routing::Closed;
 use lycheehaven_streams::Stream;
 use lycheehaven_types::Digest;
@@ -32,6 +31,8 @@
 use crate::record::Shape;
 use crate::relay;
 use crate::respond;
+use crate::shutdown;
+use crate::shutdown::Work;
 use crate::suspects;
 
 /// Timeout of reading a request body.
@@ -70,7 +71,11 @@
 ) -> Result<Response<Body>, Failure> {
     let key = idempotency_key(&request)?;
     let limit = node.settings.streams.body_bytes;
-    let bytes = read_body(request.into_body(), limit, BODY_TIMEOUT).await?;
+    let body = request.into_body();
+    let shutdown = &node.shutdown;
+    let bytes = shutdown
+        .read_body(body, limit, BODY_TIMEOUT, Duration::ZERO)
+        .await?;
     let parsed = parse(node, shape, &bytes)?;
     let key = key.map(|key| Digest::of(&[workspace.as_bytes(), key.as_bytes()]));
     let body_text = serde_json::to_vec(&parsed.body).expect("JSON maps serialize");
@@ -209,7 +214,7 @@
     digest: Digest,
     key: Option<Digest>,
 ) -> Result<Rc<Record>, Failure> {
-    check_available(node, &parsed.service)?;
+    check_available(node, &parsed.service, Work::Completion)?;
     let features = suspects::features(digest, &parsed.service, &parsed.body);
     if let Some(failure) = suspects::refusal(node, &features, false) {
         return Err(failure);
@@ -234,16 +239,27 @@
     Ok(record)
 }
 
-/// Fails if this entry is stopping, or if the service has no upstream that is
-/// not leaving.
-pub(crate) fn check_available(node: &Node, service: &str) -> Result<(), Failure> {
-    if node.handing_over.get() {
-        return Err(Failure::new(ErrorKind::Draining, "this entry is stopping"));
+/// Returns whether work for a service can be expected to end before this entry stops. A
+/// completion goes on at a peer.
+pub(crate) fn can_end(node: &Node, service: &Name, work: Work) -> bool {
+    let goes_on = work == Work::Completion && node.choose_replica(service, None).is_some();
+    let expected = match goes_on {
+        true => Duration::ZERO,
+        false => node.shutdown.expected(service, work),
+    };
+    node.shutdown.can_end(expected)
+}
+
+/// Fails if the work can't end before this entry stops, or if the service has no upstream
+/// that is not leaving.
+pub(crate) fn check_available(node: &Node, service: &Name, work: Work) -> Result<(), Failure> {
+    if !can_end(node, service, work) {
+        return Err(shutdown::not_run());
     }
     let upstreams = node.upstreams.borrow();
     let available = upstreams
         .iter()
-        .any(|upstream| &*upstream.service == service && !upstream.leaving);
+        .any(|upstream| upstream.service == *service && !upstream.leaving);
     if !available {
         return Err(Failure::new(
             ErrorKind::NoUpstream,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -117,10 +117,10 @@
 
 /// Begins the planned stop. A second request ends the wait for open requests.
 fn request_stop(node: &Node) {
-    if node.draining.replace(true) {
-        node.handing_over.set(true);
+    match node.shutdown.is_begun() {
+        true => node.shutdown.end_work_now(),
+        false => node.begin_stop(),
     }
-    node.drain_notify.notify_waiters();
 }
 
 /// Spawns a task whose panic stops this entry.
--- a/crates/entry/src/evacuate.rs
+++ b/crates/entry/src/evacuate.rs
@@ -12,6 +12,7 @@
 use lycheehaven_streams::EvacuationInput;
 use lycheehaven_streams::plan_evacuation;
 use lycheehaven_types::Name;
+use lycheehaven_types::StopPlan;
 use lycheehaven_upstream::protocol::ImportRequest;
 use lycheehaven_upstream::protocol::prefix_blocks;
 use lycheehaven_upstream::protocol::prompt_text;
@@ -88,9 +89,9 @@
     for notice in &new {
         let time_left = Duration::from_millis(notice.left_ms).min(MAX_NOTICE);
         if is_own_vm(node, notice) {
-            node.reclaim_at.set(Some(now + time_left));
-            node.draining.set(true);
-            node.drain_notify.notify_waiters();
+            node.begin_stop();
+            let plan = StopPlan::before_reclaim(now, time_left);
+            node.shutdown.end_work(plan);
         } else {
             spawn_detached(evacuate(node.clone(), notice.vm.clone(), time_left));
         }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -93,7 +93,7 @@
 }
 
 fn readiness(node: &Node) -> Response<Body> {
-    if node.ready.get() && !node.draining.get() {
+    if node.ready.get() && !node.shutdown.is_begun() {
         bytes_response(200, "text/plain", "ready\n")
     } else {
         bytes_response(503, "text/plain", "not ready\n")
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -9,14 +9,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
+use crate::plain;
 use crate::record::Record;
+use crate::relay;
 use crate::replicate;
+use crate::shutdown;
 
-/// Time before a reclaim that is reserved for the hand-over of records.
-const RECLAIM_MARGIN: Duration = Duration::from_millis(1000);
-
-/// The margin is at most one part in this many of the time left.
-const MARGIN_DIVISOR: u32 = 3;
+/// Connections are accepted for at least one part in this many of the time left.
+const LAG_DIVISOR: u32 = 3;
 
 /// Period of checking for open requests.
 const POLL_MS: u64 = 20;
@@ -36,52 +36,40 @@
 /// accepts no new connections once the load balancer has had time to notice,
 /// and finishes or hands over the open requests.
 pub(crate) async fn wait_and_drain(node: &Rc<Node>, accepting: &CancellationToken) {
-    loop {
-        let requested = node.drain_notify.notified();
-        if node.draining.get() {
-            break;
-        }
-        requested.await;
-    }
+    node.shutdown.begun().await;
     log::info!(target: "lycheehaven", "draining");
     node.peers.borrow_mut().set_leaving();
     node.open_requests.announce_close();
-    let lag = node.settings.drain.lag_ms;
-    let lag = time_left(node).map_or(lag, |remaining| lag.min(remaining.as_millis() as u64 / 3));
     select! {
-        () = sleep_ms(lag).fuse() => (),
-        () = second_request(node).fuse() => (),
+        () = compio::time::sleep(lag(node)).fuse() => (),
+        () = node.shutdown.work_end().fuse() => (),
     }
     accepting.cancel();
     wait_for_requests(node).await;
     // A request that is accepted from here on could not be handed over: it is refused.
-    node.handing_over.set(true);
-    hand_over(node).await;
+    node.shutdown.end_work_now();
+    let records: Vec<Rc<Record>> = node.records.borrow().values().cloned().collect();
+    records
+        .iter()
+        .for_each(|record| plain::end_open_call(record));
+    hand_over(node, records).await;
     linger(node).await;
     log_open_requests(node);
 }
 
-async fn second_request(node: &Node) {
-    while !node.handing_over.get() {
-        sleep_ms(POLL_MS).await;
-    }
-}
-
-/// Returns the time until the hand-over must begin, if this entry's VM will be
-/// reclaimed.
-fn time_left(node: &Node) -> Option<Duration> {
-    let at = node.reclaim_at.get()?;
-    let remaining = at.saturating_duration_since(node.now());
-    Some(remaining.saturating_sub(RECLAIM_MARGIN.min(remaining / MARGIN_DIVISOR)))
+/// Returns the time for which connections are still accepted. Before a reclaim it is a part
+/// of the time left, unless the rest is more than it takes to finish.
+fn lag(node: &Node) -> Duration {
+    let drain = &node.settings.drain;
+    let left = node.shutdown.time_left().unwrap_or_default();
+    let spare = left.saturating_sub(Duration::from_millis(drain.finish_ms));
+    Duration::from_millis(drain.lag_ms).min(spare.max(left / LAG_DIVISOR))
 }
 
-/// Waits until no request is open, the time to finish is over, or a second signal ends it.
+/// Waits until no request is open, or the work must have ended.
 async fn wait_for_requests(node: &Rc<Node>) {
-    let limit = Duration::from_millis(node.settings.drain.finish_ms);
-    let limit = time_left(node).map_or(limit, |remaining| remaining.min(limit));
-    let deadline = node.now() + limit;
     let mut quiet_since = None;
-    while node.now() < deadline && !node.handing_over.get() {
+    while node.shutdown.can_end(Duration::ZERO) {
         let now = node.now();
         if has_open_requests(node) {
             quiet_since = None;
@@ -123,9 +111,9 @@
     }
 }
 
-/// Hands over every record whose answer can still be fetched.
-async fn hand_over(node: &Rc<Node>) {
-    let records: Vec<Rc<Record>> = node.records.borrow().values().cloned().collect();
+/// Hands over every record whose answer can still be fetched. The callers of those that no
+/// peer continues are told that they end here.
+async fn hand_over(node: &Rc<Node>, records: Vec<Rc<Record>>) {
     let mut avoid = None;
     let mut remaining = records;
     for _ in 0..HANDOVER_ATTEMPTS {
@@ -139,7 +127,24 @@
     }
     if !remaining.is_empty() {
         log::error!(target: "lycheehaven", records = remaining.len(); "hand-over failed: no peer accepted the records; those without a replica are lost");
+        remaining.iter().for_each(|record| end_record(record));
+    }
+}
+
+/// Fails a record that is not over and that no peer continues.
+fn end_record(record: &Record) {
+    if record.is_over() {
+        return;
     }
+    let is_sent = relay::may_have_run(record);
+    log::warn!(
+        target: "lycheehaven",
+        request = record.request.id.as_str(), tokens = record.token_count(), is_sent = is_sent;
+        "the request ends with this entry"
+    );
+    let failure = shutdown::not_ended(is_sent);
+    record.fail(failure.kind, failure.message);
+    record.driver_notify.notify_waiters();
 }
 
 /// Hands records over to the peers that hold their replicas, or to others in
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,6 +43,7 @@
 mod relay;
 mod replicate;
 mod respond;
+mod shutdown;
 mod silence;
 mod suspects;
 mod target;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -41,6 +41,7 @@
 use lycheehaven_types::Incarnation;
 use lycheehaven_types::Name;
 use lycheehaven_types::RequestId;
+use lycheehaven_types::StopPlan;
 use lycheehaven_types::rendezvous_order;
 use lycheehaven_upstream::EngineClient;
 use tokio::sync::Notify;
@@ -52,6 +53,7 @@
 use crate::record::Record;
 use crate::replicate::Replica;
 use crate::replicate::Replicator;
+use crate::shutdown::Shutdown;
 use crate::suspects;
 
 /// Service name under which the VM list shows entries.
@@ -99,11 +101,8 @@
     /// Requests of callers that are not answered whole.
     pub(crate) open_requests: OpenRequests,
     pub(crate) ready: Cell<bool>,
-    pub(crate) draining: Cell<bool>,
-    pub(crate) handing_over: Cell<bool>,
-    /// Time at which this entry's own VM will be reclaimed.
-    pub(crate) reclaim_at: Cell<Option<Instant>>,
-    pub(crate) drain_notify: Notify,
+    pub(crate) shutdown: Shutdown,
+    /// Cancelled when the process ends.
     pub(crate) stop: CancellationToken,
 }
 
@@ -158,16 +157,20 @@
             metrics: Metrics::new(),
             open_requests: OpenRequests::default(),
             ready: Cell::new(false),
-            draining: Cell::new(false),
-            handing_over: Cell::new(false),
-            reclaim_at: Cell::new(None),
-            drain_notify: Notify::new(),
+            shutdown: Shutdown::new(clock.clone()),
             stop: CancellationToken::new(),
             clock,
             settings,
         })
     }
 
+    /// Begins the planned stop.
+    pub(crate) fn begin_stop(&self) {
+        let drain = &self.settings.drain;
+        let time = Duration::from_millis(drain.lag_ms + drain.finish_ms);
+        self.shutdown.end_work(StopPlan::new(self.now() + time));
+    }
+
     /// Returns the current monotonic time.
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -55,7 +55,7 @@
     let lease_client = RefCell::new(LeaseClient::new(node.holder(), lease_duration));
     let mut state = HolderState::default();
     let mut held = None;
-    while !node.stop.is_cancelled() && !node.draining.get() {
+    while !node.stop.is_cancelled() && !node.shutdown.is_begun() {
         renew(&node, &lease_client).await;
         let fence = lease_client.borrow().fence(node.now());
         if fence != held {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -22,7 +22,6 @@
 use lycheehaven_net::RequestError;
 use lycheehaven_net::bytes_response;
 use lycheehaven_net::catch_panic;
-use lycheehaven_net::read_body;
 use lycheehaven_net::sleep_ms;
 use lycheehaven_net::spawn_detached;
 use lycheehaven_streams::Event;
@@ -47,6 +46,8 @@
 use crate::relay;
 use crate::replicate;
 use crate::respond::REQUEST_ID_HEADER;
+use crate::shutdown;
+use crate::shutdown::Work;
 use crate::wire::ClaimQuery;
 use crate::wire::ClaimStatus;
 
@@ -79,11 +80,17 @@
         .and_then(|v| v.to_str().ok());
     let content_type = content_type.map(str::to_owned);
     let limit = node.settings.streams.body_bytes;
-    let body = read_body(request.into_body(), limit, complete::BODY_TIMEOUT)
+    let bare_path = path.split('?').next().unwrap_or_default();
+    let work = match service.is_repeatable(&method, bare_path) {
+        true => Work::Repeatable,
+        false => Work::Once,
+    };
+    let (body, expected) = (request.into_body(), node.shutdown.expected(&name, work));
+    let shutdown = &node.shutdown;
+    let body = shutdown
+        .read_body(body, limit, complete::BODY_TIMEOUT, expected)
         .await?
         .to_vec();
-    let bare_path = path.split('?').next().unwrap_or_default();
-    let repeatable = service.is_repeatable(&method, bare_path);
     let call = PlainCall {
         method,
         path,
@@ -91,8 +98,8 @@
         body,
         key,
     };
-    if repeatable {
-        complete::check_available(node, &name)?;
+    if work == Work::Repeatable {
+        complete::check_available(node, &name, work)?;
         let _place = Place::obtain(node, &workspace)?;
         let answer = calls::run_repeatable(node, &name, &call).await;
         return answer.map(|answer| response_of(&answer));
@@ -167,7 +174,7 @@
     {
         return Ok(record);
     }
-    complete::check_available(node, &service)?;
+    complete::check_available(node, &service, Work::Once)?;
     let permit = complete::admit(node, &workspace, 0.0)?;
     let replica = node.choose_replica(&service, None);
     let request = Request {
@@ -290,15 +297,23 @@
     node.claim_shards.mark_sent(claim.nonce, until);
     for _ in 0..calls::UPSTREAM_ATTEMPTS {
         let subject = record.request.id.as_str();
-        let Some(target) = calls::choose(node, &record.request.service, subject) else {
+        let service = &record.request.service;
+        if record.is_over() || !complete::can_end(node, service, Work::Once) {
+            break;
+        }
+        let Some(target) = calls::choose(node, service, subject) else {
             break;
         };
         // It may have run from here on, and must not run again: its upstream has the
         // whole time of the request to answer.
         let left = node.time_left(record.accepted);
         let sending = calls::send(node, &target, &once.call, subject);
+        record.is_sent.set(true);
         let failure = match compio::time::timeout(left, sending).await {
-            Ok(Err(RequestError::NotSent(_))) => continue,
+            Ok(Err(RequestError::NotSent(_))) => {
+                record.is_sent.set(false);
+                continue;
+            }
             Ok(Ok(answer)) => {
                 node.claim_shards.end(claim.nonce);
                 return Ok(answer);
@@ -317,7 +332,8 @@
     node.claim_shards.unmark_sent(claim.nonce);
     node.claim_shards.end(claim.nonce);
     release_claim(node, once.shard, claim).await;
-    Err(calls::unavailable(node, &record.request.service))
+    let service = &record.request.service;
+    Err(calls::unavailable(node, service, Work::Once))
 }
 
 /// Records in the claim shard that the request of a claim of this entry was not
@@ -398,6 +414,18 @@
     }
 }
 
+/// Answers a call that has not ended when the work of this entry ends. The task of the
+/// call goes on, to release a claim that it obtains.
+pub(crate) fn end_open_call(record: &Record) {
+    if record.request.shape != Shape::Plain || record.answer_ready.get() {
+        return;
+    }
+    let failure = shutdown::not_ended(record.is_sent.get());
+    record.fail(failure.kind, failure.message);
+    record.answer_ready.set(true);
+    record.changed.notify_waiters();
+}
+
 /// Waits for the answer of a call. Fails with [`ErrorKind::Moved`] if a peer
 /// has taken over the record.
 pub(crate) async fn await_answer(record: &Rc<Record>) -> Result<Response<Body>, Failure> {
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -82,6 +82,8 @@
     pub(crate) features: Rc<[Feature]>,
     /// When the last attempt began.
     pub(crate) attempted: Cell<Instant>,
+    /// Whether the call of a plain service may have been sent.
+    pub(crate) is_sent: Cell<bool>,
     /// Number of attempts that were given up because of silence.
     pub(crate) silent_attempts: Cell<u32>,
     pub(crate) stream: RefCell<Stream>,
@@ -128,6 +130,7 @@
             clock,
             features: suspects::features(request.digest, &request.service, &request.body),
             attempted: Cell::new(now),
+            is_sent: Cell::new(false),
             silent_attempts: Cell::new(0),
             request,
             stream: RefCell::new(stream),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::node::Node;
 use crate::notice;
 use crate::record::Record;
+use crate::shutdown::Work;
 use crate::silence::RunWatch;
 use crate::silence::Waited;
 use crate::suspects;
@@ -55,6 +56,12 @@
     });
 }
 
+/// Returns whether an upstream may have run the request of a record.
+pub(crate) fn may_have_run(record: &Record) -> bool {
+    let stream = record.stream.borrow();
+    stream.attempt() > stream.failed_starts()
+}
+
 /// Returns the failure of a request whose task panicked. `is_sent` tells whether an upstream
 /// may have run it.
 pub(crate) fn panic_failure(is_sent: bool) -> Failure {
@@ -459,6 +466,9 @@
             .inc();
     } else if matches!(record.stream.borrow().phase(), Phase::Finished(_)) {
         suspects::record_answered(node, record);
+        let (service, accepted) = (&record.request.service, record.accepted);
+        node.shutdown
+            .record_run(service, Work::Completion, accepted);
     }
     let key = (
         record.request.workspace.clone(),
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -58,7 +58,8 @@
 /// unreachable replica is replaced meanwhile.
 async fn wait_for_replica(record: &Record) {
     let held = record.wait_until(|record| {
-        record.request_replicated.get() || record.replica.borrow().is_none() || record.is_over()
+        let is_elsewhere = record.handed_over.get() || record.replica.borrow().is_none();
+        record.request_replicated.get() || is_elsewhere || record.is_over()
     });
     let _ = compio::time::timeout(REPLICA_TIMEOUT, held).await;
 }
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -12,9 +12,12 @@
 use lycheehaven_types::Incarnation;
 use lycheehaven_types::Name;
 
+use crate::complete;
 use crate::node::Node;
 use crate::permits;
 use crate::record::Record;
+use crate::shutdown;
+use crate::shutdown::Work;
 use crate::suspects;
 
 /// Pause before the next attempt to choose an upstream when none is usable.
@@ -115,6 +118,12 @@
         record.fail(kind, "the request was not completed before its deadline");
         return true;
     }
+    let service = &record.request.service;
+    if has_never_started(record) && !complete::can_end(node, service, Work::Completion) {
+        let failure = shutdown::not_run();
+        record.fail(failure.kind, failure.message);
+        return true;
+    }
     if has_never_started(record) && age >= START_TIMEOUT {
         record.fail(
             ErrorKind::NoUpstream,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,7 +9,9 @@
 mod request_rate;
 mod retry_after;
 mod revision;
+mod run_times;
 mod sliding_sum;
+mod stop_plan;
 
 pub mod wire;
 
@@ -36,7 +38,9 @@
 pub use revision::era_of;
 pub use revision::number_of;
 pub use revision::revision;
+pub use run_times::RunTimes;
 pub use sliding_sum::SlidingSum;
+pub use stop_plan::StopPlan;
 pub use wire::WireAmount;
 pub use wire::WireCount;
 pub use wire::WireDuration;
--- a/tests/all/late_in_stop.rs
+++ b/tests/all/late_in_stop.rs
@@ -9,7 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join3;
+use hyper::Method;
+use lycheehaven_net::HttpClient;
 use lycheehaven_standins::Cluster;
+use lycheehaven_standins::OPERATOR_KEY;
 use lycheehaven_standins::RawRequest;
 use lycheehaven_standins::RawServer;
 use lycheehaven_standins::WORKSPACE_KEY;
@@ -59,6 +63,8 @@
     Served,
     /// An answer that says that the request did not run, and when to return.
     Refused,
+    /// An answer, or the end of a stream, that says where the rest is.
+    Moved,
     /// Another whole answer, or the end of a stream with its reason.
     Failed,
     /// No answer, or a part of one.
@@ -66,13 +72,13 @@
 }
 
 /// Ends by kind and second after the signal at which the body ended, in the order served,
-/// refused, failed, cut.
+/// refused, moved, failed, cut.
 #[derive(Default)]
-struct Ends(BTreeMap<(Kind, u64), [usize; 4]>);
+struct Ends(BTreeMap<(Kind, u64), [usize; 5]>);
 
 impl fmt::Display for Ends {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "kind, second: served, refused, failed, cut")?;
+        writeln!(f, "kind, second: served, refused, moved, failed, cut")?;
         for ((kind, second), counts) in &self.0 {
             writeln!(f, "{kind:?} {second}: {counts:?}")?;
         }
@@ -186,13 +192,14 @@
 fn end_of(received: &str) -> End {
     let status = received.split(' ').nth(1).unwrap_or_default();
     let is_refusal = received.contains("\"outcome\":\"not_run\"");
+    let has_time = received.to_lowercase().contains("\r\nretry-after: ");
     match status {
         _ if !is_whole(received.as_bytes()) => End::Cut,
+        "200" if received.contains("event: moved") => End::Moved,
         "200" if received.contains("event: ") => End::Failed,
         "200" => End::Served,
-        "503" if is_refusal && received.to_lowercase().contains("\r\nretry-after: ") => {
-            End::Refused
-        }
+        "503" if is_refusal && has_time => End::Refused,
+        "503" if received.contains("\"kind\":\"moved\"") => End::Moved,
         _ => End::Failed,
     }
 }
@@ -228,76 +235,151 @@
     })
 }
 
-fn ran(server: &RawServer, marker: &str) -> usize {
-    let received = server.received();
-    let is_run = |request: &&RawRequest| {
+/// Returns how often the request with this marker reached an upstream.
+fn ran(servers: &[RawServer; 2], marker: &str) -> usize {
+    let is_run = |request: &RawRequest| {
         request.path().ends_with(&format!("/{marker}"))
             || String::from_utf8_lossy(&request.body).contains(&format!("\"{marker}\""))
     };
-    received.iter().filter(is_run).count()
+    let received = servers.iter().flat_map(RawServer::received);
+    received.filter(is_run).count()
 }
 
-/// Plays a stop of an entry that has `peers` others, with requests that take `work`.
-async fn play(work: Duration, peers: usize) -> Ends {
-    let servers = [service(work), engine(work)];
-    let mut cluster = Cluster::new(DAEMON);
-    cluster.extra_settings = DRAIN.into();
-    for (server, name) in servers.iter().zip(["hinnalaud", "poleer-llm"]) {
-        let mut platform = cluster.platform.state();
-        platform.add_vm(&format!("raw-{name}"), "arima", name, server.addr());
-    }
-    for index in 0..=peers {
-        cluster.add_entry(&format!("entry-{index}"), "arima");
+/// What lets the entry stop.
+#[derive(Debug, Clone, Copy)]
+enum Stop {
+    Signal,
+    /// A second signal after this time ends the time to finish.
+    SecondSignal(Duration),
+    Operator,
+    /// The VM is reclaimed this time after the notice.
+    Reclaim(Duration),
+}
+
+struct Case {
+    work: Duration,
+    /// Entries besides the one that stops.
+    peers: usize,
+    /// Whether the entry knows how long requests take.
+    is_known: bool,
+    stop: Stop,
+}
+
+impl Case {
+    fn new(work_ms: u64) -> Self {
+        Self {
+            work: Duration::from_millis(work_ms),
+            peers: 0,
+            is_known: true,
+            stop: Stop::Signal,
+        }
     }
-    cluster.wait_until_joined().await;
-    cluster.declare_default().await;
-    let addr = cluster.entries[0].listen;
-    // The entry learns how long requests take.
-    let first = KINDS.map(|kind| late(kind, addr, &format!("first-{kind:?}"), Duration::ZERO));
-    for (request, received) in first
-        .iter()
-        .zip(send_all(addr, &first, Instant::now()).await)
-    {
-        assert_eq!(end_of(&received), End::Served, "{request:?}: {received}");
+
+    async fn start(&self, servers: &[RawServer; 2]) -> Cluster {
+        let mut cluster = Cluster::new(DAEMON);
+        cluster.extra_settings = DRAIN.into();
+        for (server, name) in servers.iter().zip(["hinnalaud", "poleer-llm"]) {
+            let mut platform = cluster.platform.state();
+            platform.add_vm(&format!("raw-{name}"), "arima", name, server.addr());
+        }
+        for index in 0..=self.peers {
+            cluster.add_entry(&format!("entry-{index}"), "arima");
+        }
+        cluster.wait_until_joined().await;
+        cluster.declare_default().await;
+        cluster
     }
-    let signal = Instant::now() + HEAD_OFFSET;
-    let earlier = requests(addr, "earlier");
-    let later = requests(addr, "later");
-    let stop = async {
+
+    async fn stop(&self, cluster: &Cluster, signal: Instant) {
         compio::time::sleep_until(signal).await;
-        cluster.entries[0].terminate();
-    };
-    let later_sends = async {
-        compio::time::sleep_until(signal + HEAD_OFFSET).await;
-        send_all(addr, &later, signal).await
-    };
-    let earlier_sends = send_all(addr, &earlier, signal);
-    let (earlier_received, later_received, ()) =
-        futures_util::future::join3(earlier_sends, later_sends, stop).await;
-    let mut ends = Ends::default();
-    let requests = earlier.iter().chain(&later);
-    for (request, received) in requests.zip(earlier_received.iter().chain(&later_received)) {
-        let end = end_of(received);
-        let runs: usize = servers
-            .iter()
-            .map(|server| ran(server, &request.marker))
-            .sum();
-        assert!(
-            end != End::Refused || runs == 0,
-            "{request:?} ran: {received}"
-        );
+        let entry = &cluster.entries[0];
+        match self.stop {
+            Stop::Signal => entry.terminate(),
+            Stop::SecondSignal(wait) => {
+                entry.terminate();
+                compio::time::sleep(wait).await;
+                entry.terminate();
+            }
+            Stop::Operator => {
+                let authorization = format!("Bearer {OPERATOR_KEY}");
+                let http = HttpClient::new().with_header("authorization", authorization);
+                let path = "/admin/drain";
+                let reply = http.call(Method::POST, entry.listen, path, "", CALLER_TIMEOUT);
+                assert_eq!(reply.await.expect("the entry responds").status, 202);
+            }
+            Stop::Reclaim(left) => {
+                let mut platform = cluster.platform.state();
+                platform.reclaim(&entry.name, left, true);
+            }
+        }
+    }
+
+    /// Plays the stop. Returns how its requests ended, and the calls that were refused.
+    async fn play(&self, cluster: &mut Cluster, servers: &[RawServer; 2]) -> (Ends, Vec<Late>) {
+        let addr = cluster.entries[0].listen;
+        if self.is_known {
+            let first =
+                KINDS.map(|kind| late(kind, addr, &format!("first-{kind:?}"), Duration::ZERO));
+            for received in send_all(addr, &first, Instant::now()).await {
+                assert_eq!(end_of(&received), End::Served, "{received}");
+            }
+        }
+        let signal = Instant::now() + 2 * HEAD_OFFSET;
+        let (earlier, later) = (requests(addr, "earlier"), requests(addr, "later"));
+        let later_sends = async {
+            compio::time::sleep_until(signal + HEAD_OFFSET).await;
+            send_all(addr, &later, signal).await
+        };
+        let earlier_sends = async {
+            compio::time::sleep_until(signal - HEAD_OFFSET).await;
+            send_all(addr, &earlier, signal).await
+        };
+        let stop = self.stop(cluster, signal);
+        let (earlier_received, later_received, ()) = join3(earlier_sends, later_sends, stop).await;
         assert!(
-            request.kind != Kind::Once || runs <= 1,
-            "{request:?} ran {runs} times"
+            cluster.entries[0].wait(EXIT_WAIT),
+            "the entry does not exit"
         );
-        let key = (request.kind, request.body_end.as_secs());
-        ends.0.entry(key).or_default()[end as usize] += 1;
+        let mut ends = Ends::default();
+        let mut refused = Vec::new();
+        let received = earlier_received.iter().chain(&later_received);
+        for (request, received) in earlier.iter().chain(&later).zip(received) {
+            let end = end_of(received);
+            let runs = ran(servers, &request.marker);
+            assert!(
+                end != End::Refused || runs == 0,
+                "{request:?} ran: {received}"
+            );
+            assert!(
+                request.kind != Kind::Once || runs <= 1,
+                "{request:?} ran {runs} times"
+            );
+            let key = (request.kind, request.body_end.as_secs());
+            ends.0.entry(key).or_default()[end as usize] += 1;
+            if request.kind == Kind::Once && end == End::Refused {
+                refused.push(request.clone());
+            }
+        }
+        (ends, refused)
+    }
+
+    /// Checks that each request is answered, and that calls that were refused run at a peer.
+    fn check(&self) -> Ends {
+        run(async {
+            let servers = [service(self.work), engine(self.work)];
+            let mut cluster = self.start(&servers).await;
+            let (ends, refused) = self.play(&mut cluster, &servers).await;
+            assert!(ends.count(End::Served) > 0, "{ends}");
+            assert!(ends.count(End::Refused) > 0, "{ends}");
+            assert_eq!(ends.count(End::Cut), 0, "{ends}");
+            if let Some(peer) = cluster.entries.get(1) {
+                for received in send_all(peer.listen, &refused, Instant::now()).await {
+                    assert_eq!(end_of(&received), End::Served, "{received}");
+                }
+            }
+            ends
+        })
     }
-    assert!(
-        cluster.entries[0].wait(EXIT_WAIT),
-        "the entry does not exit"
-    );
-    ends
 }
 
 fn requests(addr: SocketAddr, name: &str) -> Vec<Late> {
@@ -326,27 +408,70 @@
         .collect()
 }
 
-fn check(work_ms: u64, peers: usize) {
-    let ends = run(play(Duration::from_millis(work_ms), peers));
-    assert!(ends.count(End::Served) > 0, "{ends}");
-    assert!(ends.count(End::Refused) > 0, "{ends}");
-    assert_eq!(ends.count(End::Cut), 0, "{ends}");
-}
-
 /// Guards against an end of the process without answers to requests that still run.
 #[test]
 fn requests_of_one_second_late_in_a_stop_are_answered() {
-    check(1_000, 0);
+    Case::new(1_000).check();
 }
 
 /// Guards against an end of the process without answers to requests that still run.
 #[test]
 fn requests_of_three_seconds_late_in_a_stop_are_answered() {
-    check(3_000, 0);
+    let ends = Case::new(3_000).check();
+    assert_eq!(ends.count(End::Failed), 0, "{ends}");
 }
 
 /// Guards against an end of the process without answers to requests that still run.
 #[test]
 fn requests_of_three_seconds_late_in_a_stop_beside_a_peer_are_answered() {
-    check(3_000, 1);
+    let ends = Case {
+        peers: 1,
+        ..Case::new(3_000)
+    }
+    .check();
+    assert!(ends.count(End::Moved) > 0, "{ends}");
+}
+
+/// Guards against cuts where nothing tells how long requests take.
+#[test]
+fn requests_of_unknown_length_late_in_a_stop_are_answered() {
+    let ends = Case {
+        is_known: false,
+        ..Case::new(3_000)
+    }
+    .check();
+    assert!(ends.count(End::Failed) > 0, "{ends}");
+}
+
+/// Guards against cuts where a second signal ends the time to finish.
+#[test]
+fn requests_at_a_second_signal_are_answered() {
+    let stop = Stop::SecondSignal(Duration::from_secs(2));
+    Case {
+        stop,
+        ..Case::new(1_000)
+    }
+    .check();
+}
+
+/// Guards against cuts where an operator stops an entry.
+#[test]
+fn requests_late_in_an_operators_drain_are_answered() {
+    let stop = Stop::Operator;
+    Case {
+        stop,
+        ..Case::new(3_000)
+    }
+    .check();
+}
+
+/// Guards against cuts where the VM of an entry is reclaimed.
+#[test]
+fn requests_late_before_a_reclaim_of_their_entry_are_answered() {
+    let stop = Stop::Reclaim(Duration::from_secs(5));
+    Case {
+        stop,
+        ..Case::new(1_000)
+    }
+    .check();
 }
