--- a/crates/entry/src/fetch.rs
+++ b/crates/entry/src/fetch.rs
@@ -1,11 +1,14 @@
 //! Fetching of a request's answer from any entry, whole or from a token on.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use futures_util::select;
 use http_body_util::BodyStream;
 use hyper::Request;
 use hyper::Response;
@@ -14,6 +17,8 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use lycheehaven_net::Body;
+use lycheehaven_net::BodySender;
+use lycheehaven_net::failure_response;
 use lycheehaven_net::send_unpooled;
 use lycheehaven_net::spawn_detached;
 use lycheehaven_types::ErrorKind;
@@ -198,27 +203,16 @@
     } else {
         ANSWER_TIMEOUT
     };
-    let response = send_unpooled(addr, request, CONNECT_TIMEOUT, timeout)
-        .await
-        .ok()?;
+    let response = select! {
+        response = send_unpooled(addr, request, CONNECT_TIMEOUT, timeout).fuse() => response.ok()?,
+        () = node.shutdown.work_end().fuse() => return Some(failure_response(&moved(id))),
+    };
     if response.status() == 404 {
         return None;
     }
     let (parts, incoming) = response.into_parts();
-    let (mut sender, body) = Body::channel(1);
-    spawn_detached(async move {
-        let mut frames = BodyStream::new(incoming);
-        while let Some(frame) = frames.next().await {
-            let data = match frame {
-                Ok(frame) => frame.into_data().map(Ok),
-                Err(cause) => Ok(Err(std::io::Error::other(cause))),
-            };
-            let Ok(data) = data else { continue };
-            if sender.send(data).await.is_err() {
-                return;
-            }
-        }
-    });
+    let (sender, body) = Body::channel(1);
+    spawn_detached(pass_on(node.clone(), id.clone(), incoming, sender));
     let mut forwarded = Response::from_parts(parts, body);
     forwarded
         .headers_mut()
@@ -227,6 +221,48 @@
     Some(forwarded)
 }
 
+/// Passes on a peer's response until it ends, or until this entry stops: then the caller is
+/// told to fetch the rest elsewhere if it has whole events, and its connection breaks if
+/// not.
+async fn pass_on(node: Rc<Node>, id: RequestId, incoming: Incoming, mut sender: BodySender) {
+    let mut frames = BodyStream::new(incoming);
+    let mut is_between_events = true;
+    loop {
+        let frame = select! {
+            frame = frames.next().fuse() => frame,
+            () = node.shutdown.work_end().fuse() => break,
+        };
+        let data = match frame {
+            None => return,
+            Some(Ok(frame)) => frame.into_data().map(Ok),
+            Some(Err(cause)) => Ok(Err(io::Error::other(cause))),
+        };
+        let Ok(data) = data else { continue };
+        if let Ok(bytes) = &data {
+            is_between_events = bytes.ends_with(b"\n\n");
+        }
+        if sender.send(data).await.is_err() {
+            return;
+        }
+    }
+    log::warn!(
+        target: "lycheehaven",
+        request = id.as_str(), is_whole = is_between_events;
+        "the answer of a peer is passed on no further"
+    );
+    let last = match is_between_events {
+        true => Ok(respond::moved_event(&id).into()),
+        false => Err(io::Error::other("this entry stops within an event")),
+    };
+    // The caller may have left.
+    let _ = sender.send(last).await;
+}
+
+fn moved(id: &RequestId) -> Failure {
+    let message = format!("fetch the answer at /v1/requests/{id}");
+    Failure::new(ErrorKind::Moved, message)
+}
+
 fn unknown_request() -> Failure {
     Failure::new(
         ErrorKind::UnknownRequest,
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -15,6 +15,7 @@
 use lycheehaven_streams::Phase;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
+use lycheehaven_types::RequestId;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
@@ -102,7 +103,7 @@
                 let last = if may_end(record) {
                     last_event(record)
                 } else {
-                    moved_event(record)
+                    moved_event(&record.request.id)
                 };
                 let _ = sender.send(Ok(last.into())).await;
                 return;
@@ -147,8 +148,8 @@
 
 /// Returns the event that tells the caller to fetch the rest of the answer from
 /// another entry.
-fn moved_event(record: &Record) -> String {
-    let path = format!("/v1/requests/{}", record.request.id);
+pub(crate) fn moved_event(id: &RequestId) -> String {
+    let path = format!("/v1/requests/{id}");
     format!(
         "event: moved\nretry: 200\ndata: {}\n\n",
         json!({"resume": path})
--- a/tests/all/late_in_stop.rs
+++ b/tests/all/late_in_stop.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -16,10 +15,16 @@
 use lycheehaven_standins::OPERATOR_KEY;
 use lycheehaven_standins::RawRequest;
 use lycheehaven_standins::RawServer;
-use lycheehaven_standins::WORKSPACE_KEY;
-use lycheehaven_standins::wait_until;
 use serde_json::json;
 
+use crate::late_caller::CALLER_TIMEOUT;
+use crate::late_caller::End;
+use crate::late_caller::KINDS;
+use crate::late_caller::Kind;
+use crate::late_caller::Late;
+use crate::late_caller::end_of;
+use crate::late_caller::late;
+use crate::late_caller::send_all;
 use crate::raw_engine::is_completion;
 use crate::raw_engine::respond_as_engine;
 use crate::support::DAEMON;
@@ -31,9 +36,6 @@
 /// Most time from the signal to the end of the process.
 const EXIT_WAIT: Duration = Duration::from_secs(12);
 
-/// Longest wait of a caller.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// Time from the heads of the later requests to the signal, and from it to the earlier
 /// ones.
 const HEAD_OFFSET: Duration = Duration::from_millis(300);
@@ -47,30 +49,6 @@
 /// Events of a streamed answer.
 const EVENTS: u64 = 10;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Kind {
-    Repeatable,
-    Once,
-    Buffered,
-    Stream,
-}
-
-const KINDS: [Kind; 4] = [Kind::Repeatable, Kind::Once, Kind::Buffered, Kind::Stream];
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
-    /// The whole answer.
-    Served,
-    /// An answer that says that the request did not run, and when to return.
-    Refused,
-    /// An answer, or the end of a stream, that says where the rest is.
-    Moved,
-    /// Another whole answer, or the end of a stream with its reason.
-    Failed,
-    /// No answer, or a part of one.
-    Cut,
-}
-
 /// Ends by kind and second after the signal at which the body ended, in the order served,
 /// refused, moved, failed, cut.
 #[derive(Default)]
@@ -92,118 +70,6 @@
     }
 }
 
-/// A request of the test. Its marker is part of what its upstream receives.
-#[derive(Debug, Clone)]
-struct Late {
-    kind: Kind,
-    marker: String,
-    body_end: Duration,
-    head: String,
-    body: String,
-}
-
-fn late(kind: Kind, addr: SocketAddr, marker: &str, body_end: Duration) -> Late {
-    let stream = kind == Kind::Stream;
-    let (line, body) = match kind {
-        Kind::Repeatable => (
-            format!("GET /v1/services/hinnalaud/price/{marker}"),
-            "{}".into(),
-        ),
-        Kind::Once => (
-            format!("POST /v1/services/hinnalaud/quote/{marker}"),
-            "{}".into(),
-        ),
-        Kind::Buffered | Kind::Stream => (
-            "POST /v1/completions".to_owned(),
-            json!({"model": "poleer-llm", "prompt": marker, "stream": stream}).to_string(),
-        ),
-    };
-    let key = uuid::Uuid::now_v7();
-    let length = body.len();
-    let head = format!(
-        "{line} HTTP/1.1\r\nHost: {addr}\r\nAuthorization: Bearer {WORKSPACE_KEY}\r\n\
-         Idempotency-Key: {key}\r\nContent-Length: {length}\r\n\r\n"
-    );
-    Late {
-        kind,
-        marker: marker.into(),
-        body_end,
-        head,
-        body,
-    }
-}
-
-/// Reads until the answer is whole, the connection ends or `until` passes. Returns whether
-/// the connection may go on.
-fn read_until(stream: &mut TcpStream, received: &mut Vec<u8>, until: Instant) -> bool {
-    let mut buffer = [0; 4096];
-    while !is_whole(received) {
-        let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return true;
-        }
-        stream
-            .set_read_timeout(Some(left))
-            .expect("a time that is left");
-        match stream.read(&mut buffer) {
-            Ok(0) => return false,
-            Ok(length) => received.extend_from_slice(&buffer[..length]),
-            Err(cause) if cause.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
-    }
-    false
-}
-
-fn is_whole(received: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(received);
-    let Some((head, body)) = text.split_once("\r\n\r\n") else {
-        return false;
-    };
-    let head = head.to_lowercase();
-    let length = head
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length: "));
-    match length.and_then(|length| length.parse::<usize>().ok()) {
-        Some(length) => body.len() >= length,
-        None => body.ends_with("0\r\n\r\n"),
-    }
-}
-
-/// Sends a request whose body ends late, as a caller that reads meanwhile.
-fn send(addr: SocketAddr, request: &Late, signal: Instant) -> String {
-    let mut received = Vec::new();
-    let Ok(mut stream) = TcpStream::connect(addr) else {
-        return String::new();
-    };
-    let (first, last) = request.body.split_at(request.body.len() - 1);
-    let begin = format!("{}{first}", request.head);
-    if stream.write_all(begin.as_bytes()).is_err() {
-        return String::new();
-    }
-    if read_until(&mut stream, &mut received, signal + request.body_end)
-        && stream.write_all(last.as_bytes()).is_ok()
-    {
-        read_until(&mut stream, &mut received, signal + CALLER_TIMEOUT);
-    }
-    String::from_utf8_lossy(&received).into_owned()
-}
-
-fn end_of(received: &str) -> End {
-    let status = received.split(' ').nth(1).unwrap_or_default();
-    let is_refusal = received.contains("\"outcome\":\"not_run\"");
-    let has_time = received.to_lowercase().contains("\r\nretry-after: ");
-    match status {
-        _ if !is_whole(received.as_bytes()) => End::Cut,
-        "200" if received.contains("event: moved") => End::Moved,
-        "200" if received.contains("event: ") => End::Failed,
-        "200" => End::Served,
-        "503" if is_refusal && has_time => End::Refused,
-        "503" if received.contains("\"kind\":\"moved\"") => End::Moved,
-        _ => End::Failed,
-    }
-}
-
 /// Starts a plain service whose calls take `work`.
 fn service(work: Duration) -> RawServer {
     RawServer::start(move |_: &RawRequest, stream: &mut TcpStream| {
@@ -392,22 +258,6 @@
     .collect()
 }
 
-async fn send_all(addr: SocketAddr, requests: &[Late], signal: Instant) -> Vec<String> {
-    let threads: Vec<_> = requests
-        .iter()
-        .cloned()
-        .map(|request| std::thread::spawn(move || send(addr, &request, signal)))
-        .collect();
-    wait_until("the callers to end", || {
-        threads.iter().all(std::thread::JoinHandle::is_finished)
-    })
-    .await;
-    let joined = threads.into_iter().map(std::thread::JoinHandle::join);
-    joined
-        .map(|received| received.expect("the caller does not panic"))
-        .collect()
-}
-
 /// Guards against an end of the process without answers to requests that still run.
 #[test]
 fn requests_of_one_second_late_in_a_stop_are_answered() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,8 @@
 mod claims;
 mod configuration;
 mod continuation;
+mod late_caller;
+mod late_fetch;
 mod late_in_stop;
 mod odd_values;
 mod partition;
