--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use futures_util::StreamExt;
 use http_body_util::BodyStream;
 use hyper::HeaderMap;
@@ -12,6 +13,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
@@ -23,6 +25,7 @@
 use lycheehaven_net::connect;
 use lycheehaven_net::exchange;
 use lycheehaven_net::read_body;
+use lycheehaven_net::yield_now;
 use lycheehaven_types::is_event_stream;
 use serde_json::Map;
 use serde_json::Value;
@@ -38,6 +41,9 @@
 /// Largest size of one event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Most frames that are handled together with the first one.
+const MAX_READY_FRAMES: usize = 16;
+
 /// Largest body of a refusal that is read.
 const MAX_REFUSAL_BYTES: usize = 16 * 1024;
 
@@ -106,6 +112,8 @@
     body: BodyStream<Incoming>,
     parser: SseParser,
     ready: VecDeque<EngineEvent>,
+    /// Why the stream ends after the events that are ready.
+    end: Option<StreamError>,
     notice: UpstreamNotice,
 }
 
@@ -125,18 +133,40 @@
             if let Some(event) = self.ready.pop_front() {
                 return Ok(event);
             }
-            match self.body.next().await {
-                None => return Err(StreamError::Broken("the response ended early".into())),
-                Some(Err(cause)) => return Err(StreamError::Broken(cause.to_string())),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.parse(&data)?;
-                    }
-                }
+            if let Some(end) = self.end.take() {
+                return Err(end);
+            }
+            let frame = self.body.next().await;
+            self.receive(frame);
+            self.receive_ready().await;
+        }
+    }
+
+    /// Receives what has arrived meanwhile, so that events that come fast are handled
+    /// together.
+    async fn receive_ready(&mut self) {
+        for _ in 0..MAX_READY_FRAMES {
+            // The connection's task passes on one frame at a time.
+            yield_now().await;
+            if self.end.is_some() {
+                return;
             }
+            let Some(frame) = self.body.next().now_or_never() else {
+                return;
+            };
+            self.receive(frame);
         }
     }
 
+    fn receive(&mut self, frame: Option<hyper::Result<Frame<Bytes>>>) {
+        let received = match frame {
+            None => Err(StreamError::Broken("the response ended early".into())),
+            Some(Err(cause)) => Err(StreamError::Broken(cause.to_string())),
+            Some(Ok(frame)) => frame.into_data().map_or(Ok(()), |data| self.parse(&data)),
+        };
+        self.end = received.err();
+    }
+
     /// Returns the next event if it has already arrived.
     pub fn take_ready(&mut self) -> Option<EngineEvent> {
         self.ready.pop_front()
@@ -227,6 +257,7 @@
             body: BodyStream::new(response.into_body()),
             parser: SseParser::default(),
             ready: VecDeque::new(),
+            end: None,
             notice,
         })
     }
