--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -253,32 +253,38 @@
 }
 
 /// Registers a reader with its record until dropped.
-pub(crate) struct ReaderGuard<'a> {
-    record: &'a Record,
+pub(crate) struct ReaderGuard {
+    record: Rc<Record>,
     count: fn(&Record) -> &Cell<u32>,
 }
 
-impl<'a> ReaderGuard<'a> {
+impl ReaderGuard {
     /// Registers a reader that streams the answer.
-    pub(crate) fn reader(record: &'a Record) -> Self {
+    pub(crate) fn reader(record: &Rc<Record>) -> Self {
         Self::new(record, |record| &record.readers)
     }
 
     /// Registers a reader that waits for the whole answer.
-    pub(crate) fn waiter(record: &'a Record) -> Self {
+    pub(crate) fn waiter(record: &Rc<Record>) -> Self {
         Self::new(record, |record| &record.waiters)
     }
 
-    fn new(record: &'a Record, count: fn(&Record) -> &Cell<u32>) -> Self {
+    fn new(record: &Rc<Record>, count: fn(&Record) -> &Cell<u32>) -> Self {
         count(record).set(count(record).get() + 1);
         record.driver_notify.notify_waiters();
+        let record = record.clone();
         Self { record, count }
     }
+
+    /// Returns the record.
+    pub(crate) fn record(&self) -> &Record {
+        &self.record
+    }
 }
 
-impl Drop for ReaderGuard<'_> {
+impl Drop for ReaderGuard {
     fn drop(&mut self) {
-        let cell = (self.count)(self.record);
+        let cell = (self.count)(&self.record);
         cell.set(cell.get() - 1);
         self.record.touch();
         self.record.driver_notify.notify_waiters();
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -1,17 +1,18 @@
 //! Responses to callers, streamed or whole.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::SinkExt;
+use futures_util::stream;
 use hyper::Response;
+use hyper::body::Bytes;
 use hyper::header::HeaderValue;
 use lycheehaven_net::Body;
-use lycheehaven_net::BodySender;
+use lycheehaven_net::Panicked;
 use lycheehaven_net::bytes_response;
 use lycheehaven_net::catch_panic;
 use lycheehaven_net::json_response;
-use lycheehaven_net::spawn_detached;
 use lycheehaven_streams::Phase;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
@@ -33,9 +34,6 @@
 /// Longest wait for the replica to confirm a request before its answer begins.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Largest number of body chunks buffered for a caller.
-const MAX_BUFFERED_CHUNKS: usize = 1;
-
 /// Responds with a stream of a record's tokens from index `from` on, or with
 /// the whole answer.
 pub(crate) async fn answer(
@@ -45,7 +43,7 @@
 ) -> Result<Response<Body>, Failure> {
     wait_for_replica(&record).await;
     let mut response = if stream {
-        stream_response(record.clone(), from)
+        stream_response(&record, from)
     } else {
         buffered_response(&record).await?
     };
@@ -65,29 +63,43 @@
     let _ = compio::time::timeout(REPLICA_TIMEOUT, held).await;
 }
 
-fn stream_response(record: Rc<Record>, from: usize) -> Response<Body> {
-    let (sender, body) = Body::channel(MAX_BUFFERED_CHUNKS);
-    let mut response = bytes_response(200, "text/event-stream", "");
-    *response.body_mut() = body;
-    spawn_detached(async move {
-        let mut failed = sender.clone();
-        if catch_panic(send_events(&record, from, sender))
-            .await
-            .is_err()
-        {
-            let cause = std::io::Error::other("sending the events failed unexpectedly");
-            let _ = failed.send(Err(cause)).await;
-        }
+fn stream_response(record: &Rc<Record>, from: usize) -> Response<Body> {
+    let events = Events {
+        guard: ReaderGuard::reader(record),
+        sent: from,
+        is_over: false,
+    };
+    let chunks = stream::unfold(events, |mut events| async move {
+        let event = catch_panic(events.next()).await.unwrap_or_else(|Panicked| {
+            events.is_over = true;
+            let cause = "sending the events failed unexpectedly";
+            Some(Err(io::Error::other(cause)))
+        });
+        event.map(|event| (event.map(Bytes::from), events))
     });
+    let mut response = bytes_response(200, "text/event-stream", "");
+    *response.body_mut() = Body::Chunks(Box::pin(chunks));
     response
 }
 
-/// Sends events until the answer ends, the caller disconnects, or a peer takes
-/// over the record.
-async fn send_events(record: &Record, from: usize, mut sender: BodySender) {
-    let _guard = ReaderGuard::reader(record);
-    let mut sent = from;
-    loop {
+/// The events of an answer, each produced once the connection has room for it.
+struct Events {
+    guard: ReaderGuard,
+    /// Number of tokens in the events so far.
+    sent: usize,
+    is_over: bool,
+}
+
+impl Events {
+    /// Returns the next event, or `None` after the end of the answer or once a peer has
+    /// taken over the record.
+    async fn next(&mut self) -> Option<io::Result<String>> {
+        if self.is_over {
+            return None;
+        }
+        let record = self.guard.record();
+        record.advance_read(self.sent);
+        let sent = self.sent;
         let progress = record.wait_until(|record| {
             record.visible_tokens() > sent || may_end(record) || record.handed_over.get()
         });
@@ -96,23 +108,19 @@
             Ok(()) if record.visible_tokens() > sent => {
                 let to = record.visible_tokens();
                 let event = token_event(record, sent, to);
-                sent = to;
+                self.sent = to;
                 event
             }
             Ok(()) => {
-                let last = if may_end(record) {
-                    last_event(record)
-                } else {
-                    moved_event(&record.request.id)
+                let event = match may_end(record) {
+                    true => last_event(record),
+                    false => moved_event(&record.request.id),
                 };
-                let _ = sender.send(Ok(last.into())).await;
-                return;
+                self.is_over = true;
+                event
             }
         };
-        if sender.send(Ok(event.into())).await.is_err() {
-            return;
-        }
-        record.advance_read(sent);
+        Some(Ok(event))
     }
 }
 
