--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -112,7 +112,7 @@
 }
 
 /// Hands over every record whose answer can still be fetched. The callers of those that no
-/// peer continues are told that they end here.
+/// peer was asked to continue are told that they end here.
 async fn hand_over(node: &Rc<Node>, records: Vec<Rc<Record>>) {
     let mut avoid = None;
     let mut remaining = records;
@@ -126,8 +126,13 @@
             .and_then(|record| record.replica.borrow().clone());
     }
     if !remaining.is_empty() {
-        log::error!(target: "lycheehaven", records = remaining.len(); "hand-over failed: no peer accepted the records; those without a replica are lost");
-        remaining.iter().for_each(|record| end_record(record));
+        log::error!(target: "lycheehaven", records = remaining.len(); "hand-over failed: no peer confirmed the records; those without a replica are lost");
+        for record in remaining {
+            match record.offered.get() {
+                true => replicate::mark_handed_over(node, &record),
+                false => end_record(&record),
+            }
+        }
     }
 }
 
@@ -165,7 +170,10 @@
     let mut remaining = Vec::new();
     for (peer, group) in groups {
         let accepted = match &peer {
-            Some(peer) => replicate::hand_over(node, peer, &group).await,
+            Some(peer) => {
+                group.iter().for_each(|record| record.offered.set(true));
+                replicate::hand_over(node, peer, &group).await
+            }
             None => false,
         };
         if accepted {
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -118,6 +118,8 @@
     pub(crate) accepted: Instant,
     /// When the record last had a reader or ended.
     pub(crate) last_used: Cell<Instant>,
+    /// Whether a peer was asked to take over the record, which it may have done.
+    pub(crate) offered: Cell<bool>,
     /// Whether a peer has taken over the record.
     pub(crate) handed_over: Cell<bool>,
 }
@@ -150,6 +152,7 @@
             permit: RefCell::new(None),
             accepted: now,
             last_used: Cell::new(now),
+            offered: Cell::new(false),
             handed_over: Cell::new(false),
         }
     }
--- a/tests/all/late_fetch.rs
+++ b/tests/all/late_fetch.rs
@@ -43,6 +43,28 @@
     });
 }
 
+/// Guards against the end of a stream as failed that a peer may have taken over.
+#[test]
+fn stream_whose_peer_does_not_confirm_the_hand_over_says_where_its_rest_is() {
+    run(async {
+        let params = EngineParams {
+            step: Duration::from_millis(20),
+            ..EngineParams::default()
+        };
+        let mut cluster = cluster(DRAIN, ENTRIES, ENGINES, params).await;
+        let addr = cluster.entries[0].listen;
+        let mut stream = client().stream(addr, "report len=300").await.unwrap();
+        stream.receive(5).await;
+        cluster.entries[0].terminate();
+        compio::time::sleep(Duration::from_millis(900)).await;
+        cluster.entries[1].freeze();
+        while stream.next().await {}
+        assert!(stream.received.moved, "{:?}", stream.received);
+        assert!(cluster.entries[0].wait(Duration::from_secs(5)));
+        cluster.entries[1].thaw();
+    });
+}
+
 /// Guards against a fetched stream without an end.
 #[test]
 fn stream_that_a_stopping_entry_passes_on_says_where_its_rest_is() {
