Move what entries know of claimed calls into a module of its own

Change: release_claim, query_holder, local_status and claim_status move to claim_status.rs as they were. Conclusion: no behaviour changes.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod boot;
 mod calls;
 mod claim_shards;
+mod claim_status;
 mod complete;
 mod config_store;
 mod daemon;
--- a/crates/entry/src/peer_api.rs
+++ b/crates/entry/src/peer_api.rs
@@ -23,6 +23,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::claim_shards;
+use crate::claim_status;
 use crate::evacuate;
 use crate::evacuate::NoticeOrigin;
 use crate::exchange;
@@ -30,7 +31,6 @@
 use crate::node::Node;
 use crate::node::PEER_KEY_HEADER;
 use crate::permits;
-use crate::plain;
 use crate::replicate;
 use crate::suspects;
 use crate::wire::BootState;
@@ -110,7 +110,7 @@
             ))
         }
         "/peer/claim_status" => Ok(encode(
-            &plain::claim_status(node, decode::<ClaimQuery>(&body)?).await,
+            &claim_status::claim_status(node, decode::<ClaimQuery>(&body)?).await,
         )),
         "/peer/permit" => Ok(encode(&permits::handle_ask(node, &decode::<Ask>(&body)?))),
         "/peer/suspect" => Ok(encode(&suspects::handle_report(
