--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -22,7 +22,6 @@
 use lycheehaven_net::RequestError;
 use lycheehaven_net::bytes_response;
 use lycheehaven_net::catch_panic;
-use lycheehaven_net::read_body;
 use lycheehaven_net::sleep_ms;
 use lycheehaven_net::spawn_detached;
 use lycheehaven_streams::Event;
@@ -36,10 +35,11 @@
 
 use crate::calls;
 use crate::claim_shards;
+use crate::claim_status::query_holder;
+use crate::claim_status::release_claim;
 use crate::complete;
 use crate::front::SERVICES_PREFIX;
 use crate::node::Node;
-use crate::peer_client;
 use crate::record::ReaderGuard;
 use crate::record::Record;
 use crate::record::Request;
@@ -47,7 +47,8 @@
 use crate::relay;
 use crate::replicate;
 use crate::respond::REQUEST_ID_HEADER;
-use crate::wire::ClaimQuery;
+use crate::shutdown;
+use crate::shutdown::Work;
 use crate::wire::ClaimStatus;
 
 /// Claims attempted per call while the previous holders answer that they have
@@ -79,11 +80,17 @@
         .and_then(|v| v.to_str().ok());
     let content_type = content_type.map(str::to_owned);
     let limit = node.settings.streams.body_bytes;
-    let body = read_body(request.into_body(), limit, complete::BODY_TIMEOUT)
+    let bare_path = path.split('?').next().unwrap_or_default();
+    let work = match service.is_repeatable(&method, bare_path) {
+        true => Work::Repeatable,
+        false => Work::Once,
+    };
+    let (body, expected) = (request.into_body(), node.shutdown.expected(&name, work));
+    let shutdown = &node.shutdown;
+    let body = shutdown
+        .read_body(body, limit, complete::BODY_TIMEOUT, expected)
         .await?
         .to_vec();
-    let bare_path = path.split('?').next().unwrap_or_default();
-    let repeatable = service.is_repeatable(&method, bare_path);
     let call = PlainCall {
         method,
         path,
@@ -91,8 +98,8 @@
         body,
         key,
     };
-    if repeatable {
-        complete::check_available(node, &name)?;
+    if work == Work::Repeatable {
+        complete::check_available(node, &name, work)?;
         let _place = Place::obtain(node, &workspace)?;
         let answer = calls::run_repeatable(node, &name, &call).await;
         return answer.map(|answer| response_of(&answer));
@@ -167,7 +174,7 @@
     {
         return Ok(record);
     }
-    complete::check_available(node, &service)?;
+    complete::check_available(node, &service, Work::Once)?;
     let permit = complete::admit(node, &workspace, 0.0)?;
     let replica = node.choose_replica(&service, None);
     let request = Request {
@@ -290,15 +297,23 @@
     node.claim_shards.mark_sent(claim.nonce, until);
     for _ in 0..calls::UPSTREAM_ATTEMPTS {
         let subject = record.request.id.as_str();
-        let Some(target) = calls::choose(node, &record.request.service, subject) else {
+        let service = &record.request.service;
+        if record.is_over() || !complete::can_end(node, service, Work::Once) {
+            break;
+        }
+        let Some(target) = calls::choose(node, service, subject) else {
             break;
         };
         // It may have run from here on, and must not run again: its upstream has the
         // whole time of the request to answer.
         let left = node.time_left(record.accepted);
         let sending = calls::send(node, &target, &once.call, subject);
+        record.is_sent.set(true);
         let failure = match compio::time::timeout(left, sending).await {
-            Ok(Err(RequestError::NotSent(_))) => continue,
+            Ok(Err(RequestError::NotSent(_))) => {
+                record.is_sent.set(false);
+                continue;
+            }
             Ok(Ok(answer)) => {
                 node.claim_shards.end(claim.nonce);
                 return Ok(answer);
@@ -317,85 +332,20 @@
     node.claim_shards.unmark_sent(claim.nonce);
     node.claim_shards.end(claim.nonce);
     release_claim(node, once.shard, claim).await;
-    Err(calls::unavailable(node, &record.request.service))
-}
-
-/// Records in the claim shard that the request of a claim of this entry was not
-/// and will not be sent.
-async fn release_claim(node: &Rc<Node>, shard: ShardId, claim: Claim) {
-    let released = Claim {
-        state: ClaimState::NotRun,
-        ..claim
-    };
-    claim_shards::claim(node, shard, released).await;
-}
-
-/// Asks the holder of a claim, then every other live entry, for the status of
-/// its call. Asks again for as long as the call runs.
-async fn query_holder(node: &Rc<Node>, shard: ShardId, claim: Claim) -> ClaimStatus {
-    let query = ClaimQuery { claim, shard };
-    let holder = query.claim.holder.clone();
-    let name = holder.split('.').next().unwrap_or_default();
-    if *name == *node.settings.name {
-        return local_status(node, query).await;
-    }
-    let mut others = peer_client::live_addresses(node);
-    others.sort_by_key(|(peer, _)| **peer != *name);
-    for (_, addr) in others {
-        loop {
-            match peer_client::claim_status(node, addr, &query).await {
-                Ok(ClaimStatus::Running) => {}
-                Ok(ClaimStatus::Unknown) | Err(_) => break,
-                Ok(status) => return status,
-            }
-        }
-    }
-    ClaimStatus::Unknown
+    let service = &record.request.service;
+    Err(calls::unavailable(node, service, Work::Once))
 }
 
-/// Returns the status of a claim of this incarnation of the entry or an earlier
-/// one, once its call no longer runs.
-async fn local_status(node: &Rc<Node>, query: ClaimQuery) -> ClaimStatus {
-    loop {
-        let repeated = ClaimQuery {
-            claim: query.claim.clone(),
-            shard: query.shard,
-        };
-        match claim_status(node, repeated).await {
-            ClaimStatus::Running => {}
-            status => return status,
-        }
-    }
-}
-
-/// Returns what this entry knows of a claimed call. Only the incarnation that
-/// made the claim can tell that the call was not sent; it then releases the
-/// claim.
-pub(crate) async fn claim_status(node: &Rc<Node>, query: ClaimQuery) -> ClaimStatus {
-    let claim = query.claim;
-    let nonce = claim.nonce;
-    if claim.holder == node.holder() {
-        if let Some(record) = node.claim_shards.active(nonce) {
-            let ended = record.wait_until(|record| record.answer_ready.get());
-            if compio::time::timeout(peer_client::STATUS_POLL_TIMEOUT, ended)
-                .await
-                .is_err()
-            {
-                return ClaimStatus::Running;
-            }
-        }
-        if !node.claim_shards.was_sent(nonce) && node.claim_shards.active(nonce).is_none() {
-            release_claim(node, query.shard, claim).await;
-            return ClaimStatus::NotRun;
-        }
-    }
-    let id = node.by_key.borrow().get(&claim.key).cloned();
-    let record = id.and_then(|id| node.records.borrow().get(&id).cloned());
-    let answer = record.and_then(|record| record.answer.borrow().clone());
-    match answer.or_else(|| replicate::replicated_answer(node, claim.key)) {
-        Some(answer) => ClaimStatus::Answered(answer),
-        None => ClaimStatus::Unknown,
+/// Answers a call that has not ended when the work of this entry ends. The task of the
+/// call goes on, to release a claim that it obtains.
+pub(crate) fn end_open_call(record: &Record) {
+    if record.request.shape != Shape::Plain || record.answer_ready.get() {
+        return;
     }
+    let failure = shutdown::not_ended(record.is_sent.get());
+    record.fail(failure.kind, failure.message);
+    record.answer_ready.set(true);
+    record.changed.notify_waiters();
 }
 
 /// Waits for the answer of a call. Fails with [`ErrorKind::Moved`] if a peer
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -82,6 +82,8 @@
     pub(crate) features: Rc<[Feature]>,
     /// When the last attempt began.
     pub(crate) attempted: Cell<Instant>,
+    /// Whether the call of a plain service may have been sent.
+    pub(crate) is_sent: Cell<bool>,
     /// Number of attempts that were given up because of silence.
     pub(crate) silent_attempts: Cell<u32>,
     pub(crate) stream: RefCell<Stream>,
@@ -116,6 +118,8 @@
     pub(crate) accepted: Instant,
     /// When the record last had a reader or ended.
     pub(crate) last_used: Cell<Instant>,
+    /// Whether a peer was asked to take over the record, which it may have done.
+    pub(crate) offered: Cell<bool>,
     /// Whether a peer has taken over the record.
     pub(crate) handed_over: Cell<bool>,
 }
@@ -128,6 +132,7 @@
             clock,
             features: suspects::features(request.digest, &request.service, &request.body),
             attempted: Cell::new(now),
+            is_sent: Cell::new(false),
             silent_attempts: Cell::new(0),
             request,
             stream: RefCell::new(stream),
@@ -147,6 +152,7 @@
             permit: RefCell::new(None),
             accepted: now,
             last_used: Cell::new(now),
+            offered: Cell::new(false),
             handed_over: Cell::new(false),
         }
     }
@@ -250,32 +256,38 @@
 }
 
 /// Registers a reader with its record until dropped.
-pub(crate) struct ReaderGuard<'a> {
-    record: &'a Record,
+pub(crate) struct ReaderGuard {
+    record: Rc<Record>,
     count: fn(&Record) -> &Cell<u32>,
 }
 
-impl<'a> ReaderGuard<'a> {
+impl ReaderGuard {
     /// Registers a reader that streams the answer.
-    pub(crate) fn reader(record: &'a Record) -> Self {
+    pub(crate) fn reader(record: &Rc<Record>) -> Self {
         Self::new(record, |record| &record.readers)
     }
 
     /// Registers a reader that waits for the whole answer.
-    pub(crate) fn waiter(record: &'a Record) -> Self {
+    pub(crate) fn waiter(record: &Rc<Record>) -> Self {
         Self::new(record, |record| &record.waiters)
     }
 
-    fn new(record: &'a Record, count: fn(&Record) -> &Cell<u32>) -> Self {
+    fn new(record: &Rc<Record>, count: fn(&Record) -> &Cell<u32>) -> Self {
         count(record).set(count(record).get() + 1);
         record.driver_notify.notify_waiters();
+        let record = record.clone();
         Self { record, count }
     }
+
+    /// Returns the record.
+    pub(crate) fn record(&self) -> &Record {
+        &self.record
+    }
 }
 
-impl Drop for ReaderGuard<'_> {
+impl Drop for ReaderGuard {
     fn drop(&mut self) {
-        let cell = (self.count)(self.record);
+        let cell = (self.count)(&self.record);
         cell.set(cell.get() - 1);
         self.record.touch();
         self.record.driver_notify.notify_waiters();
