--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,8 @@
 mod pauses;
 mod prefix_cache;
 mod silence;
+mod stop_times;
+mod work_times;
 
 pub use activity::Activity;
 pub use choose::Choice;
@@ -40,3 +42,5 @@
 pub use silence::Silence;
 pub use silence::Verdict;
 pub use silence::is_silent;
+pub use stop_times::StopTimes;
+pub use work_times::WorkTimes;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,6 +42,7 @@
 use crate::quarantine;
 use crate::quarantine::RunInfo;
 use crate::quarantine::TrialGuard;
+use crate::schedule::Schedule;
 use crate::sends::Sends;
 
 /// Network delay to the upstream, subtracted from the deadline sent to it.
@@ -60,7 +61,7 @@
     pub(crate) workspace: Option<Name>,
     pub(crate) priority: u8,
     pub(crate) received: Instant,
-    pub(crate) deadline: Instant,
+    pub(crate) schedule: Schedule,
     /// What requests that crash upstreams are recognized by.
     pub(crate) features: Rc<[Feature]>,
     /// Whether the request was written to an upstream, so that it may have run.
@@ -78,9 +79,9 @@
             .unwrap_or("-")
     }
 
-    /// Returns the time from `now` until the deadline, zero once it has passed.
+    /// Returns the time from `now` until the request must have ended, zero once it must.
     pub(crate) fn remaining(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+        self.schedule.remaining(now)
     }
 
     /// Returns the number of prompt tokens, 0 if unknown.
@@ -109,6 +110,8 @@
     pub(crate) last_event: Option<u64>,
     /// Engine that holds the stream's KV cache.
     pub(crate) kv_source: Option<KvSource>,
+    /// Time that the stream has taken so far.
+    pub(crate) done: Duration,
 }
 
 /// Counts a request towards an upstream's load until the guard is dropped.
@@ -328,7 +331,8 @@
 /// it took to connect. A run that goes on from its KV cache may go on at a leaving
 /// upstream.
 fn may_still_send(node: &Node, job: &Job, key: &UpstreamKey, resume: &ResumePoint) -> bool {
-    if quarantine::is_quarantined(node, &job.features) {
+    let may_begin = job.schedule.may_go_on(resume.done, node.now());
+    if !may_begin || quarantine::is_quarantined(node, &job.features) {
         return false;
     }
     match resume.kv_source {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -56,11 +56,6 @@
 /// Time without open requests after which a stopping process exits.
 const QUIET_PERIOD: Duration = Duration::from_millis(300);
 
-/// Time before the end of the time to stop at which the process exits even if requests
-/// are open, and the largest part of the time to stop that it takes.
-const EXIT_MARGIN: Duration = Duration::from_millis(200);
-const EXIT_MARGIN_DIVISOR: u32 = 20;
-
 /// Runs a gateway until it receives a stop signal and its requests have ended.
 ///
 /// # Errors
@@ -286,14 +281,13 @@
 async fn wait_and_drain(node: &Rc<Node>) {
     node.stop_requested.cancelled().await;
     let requested = node.now();
-    let grace = Duration::from_secs_f64(node.settings.bounds.grace_s);
-    let grace = grace - EXIT_MARGIN.min(grace / EXIT_MARGIN_DIVISOR);
+    let exit = node.stop.times().map_or(requested, |stop| stop.exit());
     let mut quiet_since = None;
     loop {
         sleep_ms(50).await;
         let now = node.now();
         let elapsed = now.saturating_duration_since(requested);
-        if elapsed >= grace {
+        if now >= exit {
             return;
         }
         if elapsed >= BALANCER_LAG {
--- a/crates/gateway/src/elsewhere.rs
+++ b/crates/gateway/src/elsewhere.rs
@@ -30,6 +30,7 @@
 use crate::pick;
 use crate::quarantine;
 use crate::quarantine::Permission;
+use crate::schedule::TOO_LATE;
 use crate::serve;
 
 /// What the attempts of a request leave for the next one.
@@ -120,7 +121,7 @@
         let (node, job) = (node.clone(), job.clone());
         let (chosen, signal) = (target.clone(), written.clone());
         let sending = async move {
-            let deadline = job.deadline;
+            let deadline = job.schedule.deadline;
             attempt::send_uncounted(&node, &job, &chosen, &resume, deadline, &signal).await
         };
         Self {
@@ -196,6 +197,9 @@
             }
         }
         let now = node.now();
+        if !job.schedule.may_go_on(resume.done, now) {
+            return Err(TOO_LATE);
+        }
         let mut excluded = tries.tried.clone();
         excluded.push(self.key.clone());
         excluded.extend(node.loads.borrow().silent(now).cloned());
@@ -315,7 +319,9 @@
     /// chosen.
     pub(crate) fn end(&self, silent: Duration, ending: Ending, other: Option<&str>) {
         let ending = match ending {
-            Ending::Broke if self.job.remaining(self.node.now()).is_zero() => Ending::Expired,
+            Ending::Broke if self.job.schedule.until_deadline(self.node.now()).is_zero() => {
+                Ending::Expired
+            }
             ending => ending,
         };
         self.node.metrics.record_silence(ending.name());
--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -40,7 +40,7 @@
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Time per token that is assumed before a stream has produced any.
-const DEFAULT_TOKEN_INTERVAL: Duration = Duration::from_millis(8);
+pub(crate) const DEFAULT_TOKEN_INTERVAL: Duration = Duration::from_millis(8);
 
 /// Quantile that is taken as a stream's expected length, among the observed
 /// lengths greater than the tokens it has already produced.
@@ -273,7 +273,11 @@
     now: Instant,
 ) -> Vec<Rc<StreamState>> {
     let streams = node.streams.borrow();
-    let states = streams.movable_at(&upstream.key);
+    let mut states = streams.movable_at(&upstream.key);
+    states.retain(|state| {
+        let done = now.saturating_duration_since(state.started);
+        state.job.schedule.may_go_on(done, now)
+    });
     let Some(first) = states.first() else {
         return Vec::new();
     };
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,10 +1,13 @@
 //! Handles requests from callers: decodes them and checks access and quotas.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::FutureExt;
+use futures_util::select_biased;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Body as _;
@@ -41,15 +44,14 @@
 use crate::node::Node;
 use crate::node::REQUESTED_WINDOW;
 use crate::quarantine;
+use crate::schedule;
+use crate::schedule::Schedule;
 use crate::sends::Sends;
 use crate::serve;
 
 /// Time limit for reading a request body, independent of the configured limits.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Deadline of a request that does not specify one.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-
 /// Handles one request.
 pub(crate) async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     let received = node.now();
@@ -89,13 +91,22 @@
     written: &Rc<Cell<bool>>,
 ) -> Response<Body> {
     let id = head.id.clone();
-    match admit(node, request, head, received, written).await {
-        Ok(job) => serve_job(node, job).await,
-        Err(failure) => {
-            log_failure(node, id.as_ref(), None, &failure, received);
-            error_response(&failure)
+    let task = async {
+        match admit(node, request, head, received, written).await {
+            Ok(job) => Ok(serve_job(node, job).await),
+            Err(failure) => Err(failure),
         }
-    }
+    };
+    let result = select_biased! {
+        result = pin!(task.fuse()) => result,
+        () = pin!(schedule::work_over(node).fuse()) => {
+            Err(schedule::cut_failure(written.get()))
+        }
+    };
+    result.unwrap_or_else(|failure| {
+        log_failure(node, id.as_ref(), None, &failure, received);
+        error_response(&failure)
+    })
 }
 
 /// Returns the failure of a request whose task panicked. `written` tells whether the
@@ -146,7 +157,8 @@
     let route = find_route(&catalog, &head, request.uri().path(), is_current)?;
     let is_current = is_current && node.has_quota_state();
     let workspace = authorize(&catalog, &route, &head, is_current)?;
-    let (parts, body) = read_request_body(&catalog, request).await?;
+    let schedule = Schedule::new(node, &route, &head, received);
+    let (parts, body) = read_in_time(node, &schedule, &catalog, request).await?;
     let target = caller::target(&parts.uri);
     let uri = target
         .parse()
@@ -162,12 +174,6 @@
     node.retry_budget
         .borrow_mut()
         .record_request(&service, node.now());
-    let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
-    let timeout = if route.timeout.is_zero() {
-        deadline
-    } else {
-        route.timeout
-    };
     let priority = workspace
         .and_then(|workspace| workspace.priority)
         .unwrap_or(route.priority);
@@ -181,7 +187,7 @@
         workspace: workspace.map(|workspace| workspace.name.clone()),
         priority: priority.min(9),
         received,
-        deadline: received + deadline.min(timeout),
+        schedule,
         features,
         written: written.clone(),
         sends: Sends::default(),
@@ -232,6 +238,22 @@
     )
 }
 
+/// Reads a request's body while the request can still end before this process stops.
+async fn read_in_time(
+    node: &Node,
+    schedule: &Schedule,
+    catalog: &Catalog,
+    request: Request<Incoming>,
+) -> Result<(hyper::http::request::Parts, Bytes), Failure> {
+    schedule.check(node.now())?;
+    let read = select_biased! {
+        read = pin!(read_request_body(catalog, request).fuse()) => Some(read?),
+        () = pin!(schedule.latest_start(node).fuse()) => None,
+    };
+    schedule.check(node.now())?;
+    read.ok_or_else(|| schedule::cut_failure(false))
+}
+
 async fn read_request_body(
     catalog: &Catalog,
     request: Request<Incoming>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 //! leaving engines, [`quarantine`] stops requests that crash upstreams, [`permits`]
 //! applies the request rates that upstreams state, and [`duty`] reports usage and scales
 //! engines while this entry holds the lease. [`endings`] logs and counts answers that callers
-//! do not get whole.
+//! do not get whole, and [`schedule`] tells when a request must have ended.
 
 mod admin;
 mod apply;
@@ -42,6 +42,7 @@
 mod pick;
 mod quarantine;
 mod relay;
+mod schedule;
 mod sends;
 mod serve;
 mod settings;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,6 +19,7 @@
 use lycheehaven_dispatch::CostModel;
 use lycheehaven_dispatch::LoadTracker;
 use lycheehaven_dispatch::Pauses;
+use lycheehaven_dispatch::WorkTimes;
 use lycheehaven_duties::Demand;
 use lycheehaven_duties::MedianClock;
 use lycheehaven_duties::Usage;
@@ -42,6 +43,7 @@
 use crate::evacuate::Streams;
 use crate::metrics::Metrics;
 use crate::quarantine;
+use crate::schedule::PlannedStop;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -71,6 +73,7 @@
     pub(crate) role: Cell<Role>,
     pub(crate) last_reports: RefCell<HashMap<Name, LastReport>>,
     pub(crate) loads: RefCell<LoadTracker>,
+    pub(crate) work_times: RefCell<WorkTimes>,
     pub(crate) pauses: RefCell<Pauses>,
     /// Request rates that upstreams state, and permits for requests to them.
     pub(crate) permits: RefCell<Permits>,
@@ -120,6 +123,7 @@
     /// callers' connections after each response and no longer renews the lease.
     pub(crate) stopping: Cell<bool>,
     pub(crate) planned: PlannedWork,
+    pub(crate) stop: Rc<PlannedStop>,
     /// Cancelled when the entry is requested to stop.
     pub(crate) stop_requested: CancellationToken,
     /// Makes the server for callers accept no further connections and close idle
@@ -160,6 +164,7 @@
             role: Cell::new(Role::Mesh),
             last_reports: RefCell::default(),
             loads: RefCell::default(),
+            work_times: RefCell::default(),
             pauses: RefCell::default(),
             permits: RefCell::default(),
             open_asks: RefCell::default(),
@@ -188,6 +193,7 @@
             open_requests: OpenRequests::new(caller::request_id),
             stopping: Cell::new(false),
             planned: PlannedWork::default(),
+            stop: Rc::default(),
             stop_requested: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
             stop_servers: CancellationToken::new(),
@@ -228,6 +234,8 @@
 
     /// Begins the planned stop of this entry.
     pub(crate) fn request_stop(&self) {
+        let grace = Duration::from_secs_f64(self.settings.bounds.grace_s);
+        self.stop.request(self.now(), grace);
         self.stopping.set(true);
         self.open_requests.announce_close();
         self.stop_requested.cancel();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,10 +7,13 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::FutureExt;
+use futures_util::select_biased;
 use futures_util::stream::unfold;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -49,6 +52,8 @@
 use crate::quarantine::RunInfo;
 use crate::quarantine::TrialGuard;
 use crate::relay::resume::Patience;
+use crate::schedule;
+use crate::schedule::CUT_CAUSE;
 use crate::serve;
 
 /// Time after the beginning of a response, and number of its events, from which on its
@@ -189,8 +194,12 @@
 impl Relay {
     /// Returns the next bytes for the caller, or `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, String> {
-        if self.pending.is_empty() {
-            self.fill().await?;
+        if self.pending.is_empty() && self.run.is_some() {
+            let node = self.node.clone();
+            select_biased! {
+                () = pin!(schedule::streams_over(&node).fuse()) => return Err(CUT_CAUSE.into()),
+                filled = pin!(self.fill().fuse()) => filled?,
+            }
         }
         Ok(self.join_pending())
     }
@@ -369,6 +378,9 @@
             self.pending.push_back(self.splitter.take_rest());
         }
         self.node.streams.borrow_mut().remove(self.stream_id, true);
+        let mut work_times = self.node.work_times.borrow_mut();
+        work_times.record(&self.job.route.name, self.done(), self.node.now());
+        drop(work_times);
         if let Some(run) = self.run.take() {
             self.record_end(&run);
             drop(run.load_guard);
--- a/crates/gateway/src/relay/moves.rs
+++ b/crates/gateway/src/relay/moves.rs
@@ -41,6 +41,7 @@
         let resume = ResumePoint {
             last_event: self.continuity.last(),
             kv_source: Some(kv_source),
+            done: self.done(),
         };
         let outcome = self.send_moved(&target, &resume).await;
         self.adopt_run(&target.upstream.key, outcome)
@@ -52,7 +53,7 @@
     async fn send_moved(&mut self, target: &Target, resume: &ResumePoint) -> Outcome {
         let began = self.node.now();
         let mut backoff = RETRY_BACKOFF;
-        let deadline = self.job.deadline;
+        let deadline = self.job.schedule.deadline;
         let mut outcome = attempt::send(&self.node, &self.job, target, resume, deadline).await;
         loop {
             let is_refused = matches!(outcome, Outcome::Refused(_));
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -11,6 +11,7 @@
 use crate::pick;
 use crate::quarantine;
 use crate::quarantine::Permission;
+use crate::schedule::TOO_LATE;
 use crate::serve;
 use crate::serve::MAX_UNREACHABLE_UPSTREAMS;
 
@@ -82,6 +83,9 @@
     ) -> Result<Resumed, Hindrance> {
         let now = self.node.now();
         let (node, job) = (&self.node, &self.job);
+        if !job.schedule.may_go_on(self.done(), now) {
+            return Err(Hindrance::Final(TOO_LATE.into()));
+        }
         let permission = quarantine::check(node, &job.features)
             .map_err(|failure| Hindrance::Final(failure.message))?;
         let excluded = [&self.tries.tried[..], refused].concat();
@@ -95,7 +99,7 @@
             serve::begin_trial(&self.node, &self.job, &mut target);
         }
         let resume = self.resume_point();
-        let deadline = self.job.deadline;
+        let deadline = self.job.schedule.deadline;
         let key = &target.upstream.key;
         refused.push(key.clone());
         let written = CancellationToken::new();
--- a/crates/gateway/src/relay/silence.rs
+++ b/crates/gateway/src/relay/silence.rs
@@ -30,7 +30,7 @@
     pub(super) async fn read(&mut self) -> Input {
         loop {
             let now = self.node.now();
-            let remaining = self.job.remaining(now);
+            let remaining = self.job.schedule.until_deadline(now);
             if remaining.is_zero() {
                 return Input::Broken("the request's deadline passed".into());
             }
@@ -179,10 +179,17 @@
         Raced::Stayed
     }
 
+    /// Returns the time that the stream has taken so far.
+    pub(super) fn done(&self) -> Duration {
+        let now = self.node.now();
+        now.saturating_duration_since(self.state.started)
+    }
+
     pub(super) fn resume_point(&self) -> ResumePoint {
         ResumePoint {
             last_event: self.continuity.last(),
             kv_source: None,
+            done: self.done(),
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -113,12 +113,13 @@
 
 fn next_target(node: &Rc<Node>, job: &Job, attempts: &mut Attempts) -> Result<Target, Failure> {
     let now = node.now();
-    if now >= job.deadline {
+    if now >= job.schedule.deadline {
         return Err(overloaded(
             "the deadline passed before an upstream accepted the request",
             MIN_RETRY_AFTER,
         ));
     }
+    job.schedule.check(now)?;
     let may_repeat = attempts.lost.is_none() || job.route.repeatable();
     if !may_repeat || job.sends.count() >= job.route.max_attempts {
         return Err(overloaded(
@@ -193,6 +194,7 @@
     job.route.repeatable()
         && job.sends.count() < job.route.max_attempts
         && job.remaining(now) > job.route.target_latency / 2
+        && job.schedule.may_begin(now)
         && quarantine::check(node, &job.features).is_ok_and(|permission| {
             pick_target(node, job, &attempts.tries.tried, permission, now).is_ok()
         })
@@ -221,7 +223,7 @@
     } = upstream_response;
     let began = node.now();
     let (parts, body) = response.into_parts();
-    let wait = job.remaining(node.now());
+    let wait = job.schedule.until_deadline(began);
     let bytes = read_body(body, MAX_RESPONSE_BYTES, wait)
         .await
         .map_err(|cause| {
@@ -234,6 +236,12 @@
     if parts.status.is_success() && Framing::of(&parts.headers) != Framing::UntilClose {
         quarantine::record_answered(node, &job.features, began);
     }
+    if parts.status.is_success() {
+        let now = node.now();
+        let taken = now.saturating_duration_since(run.sent);
+        let mut work_times = node.work_times.borrow_mut();
+        work_times.record(&job.route.name, taken, now);
+    }
     connect::recycle(node, &upstream.key, &head, connection);
     Ok(caller_response(
         parts.status,
