--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -43,4 +43,5 @@
 pub use silence::Verdict;
 pub use silence::is_silent;
 pub use stop_times::StopTimes;
+pub use work_times::RunNumber;
 pub use work_times::WorkTimes;
--- a/crates/dispatch/tests/work_times.rs
+++ b/crates/dispatch/tests/work_times.rs
@@ -13,17 +13,30 @@
     }
 }
 
-fn expected_ms(times: &WorkTimes, route: &str) -> Option<u128> {
-    let expected = times.expected(&Name::from(route));
-    expected.map(|expected| expected.as_millis())
+/// Returns a time with the slack that is expected besides.
+fn slack(millis: u64) -> u64 {
+    millis * 9 / 8
+}
+
+/// Time that is assumed where nothing is known.
+const ASSUMED_MS: u64 = 700;
+
+fn expected_at(times: &WorkTimes, route: &str, now: Instant) -> u64 {
+    let assumed = Duration::from_millis(ASSUMED_MS);
+    let expected = times.expected(&Name::from(route), assumed, now);
+    expected.as_millis() as u64
+}
+
+fn expected_ms(times: &WorkTimes, route: &str) -> u64 {
+    expected_at(times, route, Instant::now())
 }
 
 #[test]
-fn nothing_is_expected_of_a_route_without_requests() {
+fn nothing_but_the_assumed_time_is_expected_of_a_route_without_requests() {
     let mut times = WorkTimes::default();
     record(&mut times, "a", [100]);
-    assert_eq!(expected_ms(&times, "b"), None);
-    assert_eq!(expected_ms(&times, "a"), Some(100));
+    assert_eq!(expected_ms(&times, "b"), ASSUMED_MS);
+    assert_eq!(expected_ms(&times, "a"), slack(100));
 }
 
 #[test]
@@ -34,7 +47,7 @@
         "a",
         (0..32).map(|index| if index == 9 { 5000 } else { 100 }),
     );
-    assert_eq!(expected_ms(&times, "a"), Some(100));
+    assert_eq!(expected_ms(&times, "a"), slack(100));
 }
 
 #[test]
@@ -45,7 +58,7 @@
         "a",
         (0..32).map(|index| if index % 10 == 0 { 5000 } else { 100 }),
     );
-    assert_eq!(expected_ms(&times, "a"), Some(5000));
+    assert_eq!(expected_ms(&times, "a"), slack(5000));
 }
 
 #[test]
@@ -53,7 +66,7 @@
     let mut times = WorkTimes::default();
     record(&mut times, "a", [5000; 100]);
     record(&mut times, "a", [100; 32]);
-    assert_eq!(expected_ms(&times, "a"), Some(100));
+    assert_eq!(expected_ms(&times, "a"), slack(100));
 }
 
 #[test]
@@ -63,5 +76,36 @@
         record(&mut times, &format!("r{index}"), [index]);
     }
     assert_eq!(times.route_count(), 1024);
-    assert_eq!(expected_ms(&times, "r4999"), Some(4999));
+    assert_eq!(expected_ms(&times, "r4999"), slack(4999));
+}
+
+#[test]
+fn run_that_does_not_end_makes_long_ones_expected_until_an_answer_is_whole() {
+    let began = Instant::now();
+    let route = Name::from("a");
+    let mut times = WorkTimes::default();
+    let first = times.begin(&route, began);
+    let at = |millis| began + Duration::from_millis(millis);
+    let second = times.begin(&route, at(2000));
+    assert_eq!(expected_at(&times, "a", at(300)), ASSUMED_MS);
+    assert_eq!(expected_at(&times, "a", at(4000)), 6000);
+    times.end(&route, first);
+    assert_eq!(expected_at(&times, "a", at(4000)), 3000);
+    times.record(&route, Duration::from_millis(50), at(4000));
+    assert_eq!(expected_at(&times, "a", at(4000)), slack(50));
+    times.end(&route, second);
+    assert_eq!(expected_at(&times, "a", at(9000)), slack(50));
+}
+
+#[test]
+fn run_whose_route_is_forgotten_ends_without_a_trace() {
+    let mut times = WorkTimes::default();
+    let route = Name::from("a");
+    let run = times.begin(&route, Instant::now());
+    for index in 0..1024 {
+        record(&mut times, &format!("r{index}"), [index]);
+    }
+    times.end(&route, run);
+    assert_eq!(times.route_count(), 1024);
+    assert_eq!(expected_ms(&times, "a"), ASSUMED_MS);
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -29,6 +29,7 @@
 use lycheehaven_dispatch::Load;
 use lycheehaven_dispatch::ObservedLoad;
 use lycheehaven_dispatch::PRIORITY_LEVELS;
+use lycheehaven_dispatch::RunNumber;
 use lycheehaven_net::Body;
 use lycheehaven_quarantine::Feature;
 use lycheehaven_quarantine::Progress;
@@ -120,19 +121,26 @@
     key: UpstreamKey,
     load: Cell<Load>,
     activity: Rc<Activity>,
+    route: Name,
+    number: RunNumber,
 }
 
 impl LoadGuard {
-    fn new(node: &Rc<Node>, key: &UpstreamKey, load: Load) -> Self {
+    fn new(node: &Rc<Node>, job: &Job, key: &UpstreamKey, load: Load) -> Self {
         let mut loads = node.loads.borrow_mut();
         loads.add_load(key, &load);
         let activity = loads.activity(key);
-        activity.begin(node.now());
+        let now = node.now();
+        activity.begin(now);
+        let route = job.route.name.clone();
+        let number = node.work_times.borrow_mut().begin(&route, now);
         Self {
             node: node.clone(),
             key: key.clone(),
             load: Cell::new(load),
             activity,
+            route,
+            number,
         }
     }
 
@@ -166,6 +174,8 @@
         let load = self.load.get();
         self.node.loads.borrow_mut().remove_load(&self.key, &load);
         self.activity.end();
+        let mut work_times = self.node.work_times.borrow_mut();
+        work_times.end(&self.route, self.number);
     }
 }
 
@@ -254,7 +264,7 @@
 ) -> Outcome {
     let upstream = &target.upstream;
     let load = Load::of_request(target.uncached_tokens, job.kv_tokens(), job.priority);
-    let load_guard = LoadGuard::new(node, &upstream.key, load);
+    let load_guard = LoadGuard::new(node, job, &upstream.key, load);
     let started = node.now();
     let mut force_new = false;
     loop {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -73,7 +73,7 @@
     pub(crate) role: Cell<Role>,
     pub(crate) last_reports: RefCell<HashMap<Name, LastReport>>,
     pub(crate) loads: RefCell<LoadTracker>,
-    pub(crate) work_times: RefCell<WorkTimes>,
+    pub(crate) work_times: Rc<RefCell<WorkTimes>>,
     pub(crate) pauses: RefCell<Pauses>,
     /// Request rates that upstreams state, and permits for requests to them.
     pub(crate) permits: RefCell<Permits>,
@@ -164,7 +164,7 @@
             role: Cell::new(Role::Mesh),
             last_reports: RefCell::default(),
             loads: RefCell::default(),
-            work_times: RefCell::default(),
+            work_times: Rc::default(),
             pauses: RefCell::default(),
             permits: RefCell::default(),
             open_asks: RefCell::default(),
--- a/crates/gateway/src/schedule.rs
+++ b/crates/gateway/src/schedule.rs
@@ -5,6 +5,7 @@
 //! [`streams_over`].
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,8 +14,10 @@
 use lycheehaven_catalog::Route;
 use lycheehaven_catalog::RouteKind;
 use lycheehaven_dispatch::StopTimes;
+use lycheehaven_dispatch::WorkTimes;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
+use lycheehaven_types::Name;
 
 use crate::evacuate::DEFAULT_TOKEN_INTERVAL;
 use crate::node::Node;
@@ -26,6 +29,9 @@
 /// stops. Other entries take it at once.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 50..250;
 
+/// Interval at which what is expected is looked at again while a body is read.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The planned stop of this process, once it is requested.
 #[derive(Debug, Default)]
 pub(crate) struct PlannedStop(Cell<Option<StopTimes>>);
@@ -50,7 +56,10 @@
     stop: Rc<PlannedStop>,
     /// When the caller or the route ends it.
     pub(crate) deadline: Instant,
-    expected: Duration,
+    route: Name,
+    work_times: Rc<RefCell<WorkTimes>>,
+    /// Time that is assumed while nothing is known of the route.
+    assumed: Duration,
 }
 
 impl Schedule {
@@ -64,7 +73,9 @@
         Self {
             stop: node.stop.clone(),
             deadline: received + deadline.min(timeout),
-            expected: expected_time(node, route, head),
+            route: route.name.clone(),
+            work_times: node.work_times.clone(),
+            assumed: assumed_time(route, head),
         }
     }
 
@@ -88,9 +99,17 @@
     /// Returns whether the rest of a request of which `done` is done can be expected to
     /// end in time if another run of it begins now.
     pub(crate) fn may_go_on(&self, done: Duration, now: Instant) -> bool {
-        let expected = self.expected.saturating_sub(done);
-        let stop = self.stop.times();
-        stop.is_none_or(|stop| stop.may_begin(expected, self.deadline, now))
+        let Some(stop) = self.stop.times() else {
+            return true;
+        };
+        let expected = self.expected(now).saturating_sub(done);
+        stop.may_begin(expected, self.deadline, now)
+    }
+
+    /// Returns the time that the whole request is expected to take.
+    fn expected(&self, now: Instant) -> Duration {
+        let work_times = self.work_times.borrow();
+        work_times.expected(&self.route, self.assumed, now)
     }
 
     /// Checks that the request can be expected to end in time if it begins now.
@@ -115,17 +134,15 @@
             else {
                 return std::future::pending().await;
             };
-            compio::time::sleep(stop.until_latest_start(self.expected, node.now())).await;
+            let now = node.now();
+            let wait = stop.until_latest_start(self.expected(now), now);
+            compio::time::sleep(wait.min(RECHECK_INTERVAL)).await;
         }
     }
 }
 
-/// Returns how long a request takes from its send to the end of the answer, as far as that
-/// is known.
-fn expected_time(node: &Node, route: &Route, head: &RequestHead) -> Duration {
-    if let Some(expected) = node.work_times.borrow().expected(&route.name) {
-        return expected;
-    }
+/// Returns how long a request is assumed to take from its send to the end of the answer.
+fn assumed_time(route: &Route, head: &RequestHead) -> Duration {
     match (route.kind, head.tokens) {
         (RouteKind::Streaming, Some(tokens)) => {
             let output = head.output_hint.unwrap_or(tokens.output);
