--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod front;
 mod head;
 mod lease;
+mod load_guard;
 mod members;
 mod message;
 mod metrics;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,7 +35,6 @@
 
 use crate::attempt;
 use crate::attempt::Job;
-use crate::attempt::LoadGuard;
 use crate::attempt::Outcome;
 use crate::attempt::UpstreamResponse;
 use crate::connect;
@@ -47,6 +46,7 @@
 use crate::evacuate;
 use crate::evacuate::MoveOutcome;
 use crate::evacuate::StreamState;
+use crate::load_guard::LoadGuard;
 use crate::node::Node;
 use crate::quarantine;
 use crate::quarantine::RunInfo;
