--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,10 +25,8 @@
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_channels::Connection;
 use lycheehaven_channels::SendError;
-use lycheehaven_dispatch::Activity;
 use lycheehaven_dispatch::Load;
 use lycheehaven_dispatch::ObservedLoad;
-use lycheehaven_dispatch::PRIORITY_LEVELS;
 use lycheehaven_net::Body;
 use lycheehaven_quarantine::Feature;
 use lycheehaven_quarantine::Progress;
@@ -36,12 +34,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::connect;
+use crate::load_guard::LoadGuard;
 use crate::node::Node;
 use crate::notice;
 use crate::permits;
 use crate::quarantine;
 use crate::quarantine::RunInfo;
 use crate::quarantine::TrialGuard;
+use crate::schedule::Schedule;
 use crate::sends::Sends;
 
 /// Network delay to the upstream, subtracted from the deadline sent to it.
@@ -60,7 +60,7 @@
     pub(crate) workspace: Option<Name>,
     pub(crate) priority: u8,
     pub(crate) received: Instant,
-    pub(crate) deadline: Instant,
+    pub(crate) schedule: Schedule,
     /// What requests that crash upstreams are recognized by.
     pub(crate) features: Rc<[Feature]>,
     /// Whether the request was written to an upstream, so that it may have run.
@@ -78,9 +78,9 @@
             .unwrap_or("-")
     }
 
-    /// Returns the time from `now` until the deadline, zero once it has passed.
+    /// Returns the time from `now` until the request must have ended, zero once it must.
     pub(crate) fn remaining(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+        self.schedule.remaining(now)
     }
 
     /// Returns the number of prompt tokens, 0 if unknown.
@@ -109,61 +109,8 @@
     pub(crate) last_event: Option<u64>,
     /// Engine that holds the stream's KV cache.
     pub(crate) kv_source: Option<KvSource>,
-}
-
-/// Counts a request towards an upstream's load until the guard is dropped.
-pub(crate) struct LoadGuard {
-    node: Rc<Node>,
-    key: UpstreamKey,
-    load: Cell<Load>,
-    activity: Rc<Activity>,
-}
-
-impl LoadGuard {
-    fn new(node: &Rc<Node>, key: &UpstreamKey, load: Load) -> Self {
-        let mut loads = node.loads.borrow_mut();
-        loads.add_load(key, &load);
-        let activity = loads.activity(key);
-        activity.begin(node.now());
-        Self {
-            node: node.clone(),
-            key: key.clone(),
-            load: Cell::new(load),
-            activity,
-        }
-    }
-
-    /// Returns what is heard of the upstream.
-    pub(crate) fn activity(&self) -> &Activity {
-        &self.activity
-    }
-
-    /// Removes the prompt from the load: the upstream has processed it once its
-    /// response starts.
-    pub(crate) fn response_started(&self) {
-        let load = self.load.get();
-        let prefill = Load {
-            requests: 0,
-            kv_tokens: 0,
-            ..load
-        };
-        self.node
-            .loads
-            .borrow_mut()
-            .remove_load(&self.key, &prefill);
-        self.load.set(Load {
-            prefill_tokens: [0; PRIORITY_LEVELS],
-            ..load
-        });
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        let load = self.load.get();
-        self.node.loads.borrow_mut().remove_load(&self.key, &load);
-        self.activity.end();
-    }
+    /// Time that the stream has taken so far.
+    pub(crate) done: Duration,
 }
 
 /// The upstream chosen for an attempt.
@@ -251,7 +198,7 @@
 ) -> Outcome {
     let upstream = &target.upstream;
     let load = Load::of_request(target.uncached_tokens, job.kv_tokens(), job.priority);
-    let load_guard = LoadGuard::new(node, &upstream.key, load);
+    let load_guard = LoadGuard::new(node, job, &upstream.key, load);
     let started = node.now();
     let mut force_new = false;
     loop {
@@ -328,7 +275,8 @@
 /// it took to connect. A run that goes on from its KV cache may go on at a leaving
 /// upstream.
 fn may_still_send(node: &Node, job: &Job, key: &UpstreamKey, resume: &ResumePoint) -> bool {
-    if quarantine::is_quarantined(node, &job.features) {
+    let may_begin = job.schedule.may_go_on(resume.done, node.now());
+    if !may_begin || quarantine::is_quarantined(node, &job.features) {
         return false;
     }
     match resume.kv_source {
