Keep the stated rate of an upstream whose entry lapses and returns

Cause: Permits::prune discarded the statement of each upstream without a registration (crates/gateway daemon sweep_closed, crates/entry node). When an entry lapsed and came back, with the same incarnation, the rate was unknown here until the upstream's next answer, and requests went out without permits meanwhile.

Change: the statement is set aside while the upstream is not registered, and holds at once when it returns, for up to ten minutes. Meanwhile it is neither reported to peers nor listed for operators, as before. Both doors use this type.

Before: rate_of_an_upstream_whose_entry_lapses_and_returns_holds_at_once fails (None where Some(1.0) holds). After: it passes, as do the crate's other tests (the fleets of its model too). Not played with real processes.

--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -262,8 +262,8 @@
         self.returns.book(service, part, first, draw, now)
     }
 
-    /// Discards what concerns upstreams that `is_registered` does not accept, and what is
-    /// over.
+    /// Discards what concerns upstreams that `is_registered` has not accepted for a while,
+    /// and what is over.
     pub fn prune(&mut self, is_registered: impl Fn(&UpstreamKey) -> bool, now: Instant) {
         self.statements.prune(is_registered, now);
         let statements = &self.statements;
--- a/crates/permits/src/statements.rs
+++ b/crates/permits/src/statements.rs
@@ -15,6 +15,10 @@
 /// Time for which the end of a limit is reported to peers.
 const END_REPORT_TIME: Duration = Duration::from_secs(30);
 
+/// Time for which the statement of an upstream is kept that is not registered, as its entry
+/// may return. Its process may have ended as well.
+const LAPSE_TIME: Duration = Duration::from_secs(10 * 60);
+
 /// Time for which a report may have been on its way. It makes the end of a limit seem
 /// later than it was, and is therefore taken off.
 const TRANSIT_ALLOWANCE: Duration = Duration::from_millis(500);
@@ -58,13 +62,16 @@
 #[derive(Debug, Default)]
 pub struct Statements {
     known: HashMap<UpstreamKey, Statement>,
+    /// Statements of upstreams that are not registered, and when this was seen. They hold if
+    /// the entry returns.
+    lapsed: HashMap<UpstreamKey, (Statement, Instant)>,
 }
 
 impl Statements {
     /// Records what a response of `upstream` states. Returns whether another rate holds
     /// than before.
     pub fn record(&mut self, upstream: &UpstreamKey, statement: Statement) -> bool {
-        let before = self.known.get(upstream).copied();
+        let before = self.find(upstream).copied();
         let Some(known) = before else {
             if statement.rate.is_some() {
                 self.known.insert(upstream.clone(), statement);
@@ -72,6 +79,7 @@
             return statement.rate.is_some();
         };
         let joined = known.join(statement);
+        self.lapsed.remove(upstream);
         self.known.insert(upstream.clone(), joined);
         joined.rate != known.rate
     }
@@ -85,12 +93,17 @@
     /// Returns the requests a second that an upstream takes from all entries together,
     /// or `None` if it states no limit.
     pub fn rate(&self, upstream: &UpstreamKey) -> Option<RequestRate> {
-        self.known.get(upstream)?.rate
+        self.find(upstream)?.rate
+    }
+
+    fn find(&self, upstream: &UpstreamKey) -> Option<&Statement> {
+        let known = self.known.get(upstream);
+        known.or_else(|| self.lapsed.get(upstream).map(|(statement, _)| statement))
     }
 
     /// Returns what is known of an upstream, to be sent to a peer.
     pub fn report(&self, upstream: &UpstreamKey, now: Instant) -> Option<Report> {
-        let statement = self.known.get(upstream)?;
+        let statement = self.find(upstream)?;
         Some(Report::new(upstream, statement, now))
     }
 
@@ -111,12 +124,21 @@
         known.filter(|(_, statement)| statement.rate.is_some())
     }
 
-    /// Discards the statements of upstreams that `is_registered` does not accept, and
-    /// ends of limits that peers have heard of.
+    /// Sets the statements of upstreams aside that `is_registered` does not accept, and
+    /// discards them after a while. Discards ends of limits that peers have heard of.
     pub fn prune(&mut self, is_registered: impl Fn(&UpstreamKey) -> bool, now: Instant) {
-        self.known.retain(|upstream, statement| {
-            let is_recent = now.saturating_duration_since(statement.sent) < END_REPORT_TIME;
-            is_registered(upstream) && (statement.rate.is_some() || is_recent)
-        });
+        let known = std::mem::take(&mut self.known).into_iter();
+        let known = known.map(|(upstream, statement)| (upstream, (statement, now)));
+        for (upstream, (statement, lapsed)) in known.chain(std::mem::take(&mut self.lapsed)) {
+            let age = now.saturating_duration_since(statement.sent);
+            let is_limit = statement.rate.is_some();
+            if is_registered(&upstream) {
+                if is_limit || age < END_REPORT_TIME {
+                    self.known.insert(upstream, statement);
+                }
+            } else if is_limit && now.saturating_duration_since(lapsed) < LAPSE_TIME {
+                self.lapsed.insert(upstream, (statement, lapsed));
+            }
+        }
     }
 }
--- a/crates/permits/tests/statements.rs
+++ b/crates/permits/tests/statements.rs
@@ -129,3 +129,27 @@
     statements.prune(|_| true, times.at(120_000));
     assert!(statements.news(0, times.at(120_000)).is_empty());
 }
+
+#[test]
+fn rate_of_an_upstream_whose_entry_lapses_and_returns_holds_at_once() {
+    let times = Times(Instant::now());
+    let mut statements = Statements::default();
+    statements.record(&key(), times.statement(Some(1.0), 10, 50));
+    statements.prune(|_| false, times.at(1_000));
+    assert_eq!(rate(&statements), Some(1.0));
+    assert_eq!(
+        statements.limited().count(),
+        0,
+        "it is not listed meanwhile"
+    );
+    assert!(statements.news(0, times.at(1_000)).is_empty());
+    statements.prune(|_| true, times.at(2_000));
+    assert_eq!(rate(&statements), Some(1.0));
+    assert_eq!(statements.limited().count(), 1);
+    for seconds in [700, 1299] {
+        statements.prune(|_| false, times.at(seconds * 1000));
+        assert_eq!(rate(&statements), Some(1.0), "{seconds}");
+    }
+    statements.prune(|_| false, times.at(1_300_000));
+    assert_eq!(rate(&statements), None, "it is forgotten after a while");
+}
