Use an upstream that registers again within one response to a watch

Cause: a deletion in a response to a watch counted as known at the response's own revision. If the same response also held the new registration of that incarnation, written before that revision, Directory::update took it for one of before the deletion: the upstream got no requests (and peers were told that it is gone) until its registration was written once more.

Change: each change of a response says up to which revision its object is known not to have changed again: one before the next change of the object in the response, or the response's revision. The gateway removes an upstream as of that revision.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -243,7 +243,7 @@
                     apply_config(node, &change.object);
                 }
             }
-            Topic::Servers => apply_server(node, change, changes.revision, now),
+            Topic::Servers => apply_server(node, change, now),
             Topic::Members => apply_member(node, change),
         }
     }
@@ -352,10 +352,9 @@
     }
 }
 
-/// Applies a change of an upstream's registration. `revision` is the store's
-/// revision up to which the change is known.
-fn apply_server(node: &Node, change: &Change, revision: u64, now: Instant) {
-    let object = &change.object;
+/// Applies a change of an upstream's registration.
+fn apply_server(node: &Node, change: &Change, now: Instant) {
+    let (object, revision) = (&change.object, change.known_until);
     let id = object.name.as_str().into();
     if change.deleted {
         node.directory.borrow_mut().remove(&id, revision, now);
