Learn how long work takes, and when a stop ends it, in one place for both doors

Cause: the two doors had grown a twin each in this work: WorkTimes and RunTimes for the time that work takes, StopTimes and StopPlan for the end of a stop. StopTimes holds a StopPlan. Conclusion: one copy of each decision; what differs between the doors is when work is refused.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,7 +17,6 @@
 mod prefix_cache;
 mod silence;
 mod stop_times;
-mod work_times;
 
 pub use activity::Activity;
 pub use choose::Choice;
@@ -43,5 +42,3 @@
 pub use silence::Verdict;
 pub use silence::is_silent;
 pub use stop_times::StopTimes;
-pub use work_times::RunNumber;
-pub use work_times::WorkTimes;
--- a/crates/dispatch/src/stop_times.rs
+++ b/crates/dispatch/src/stop_times.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_types::StopPlan;
+
 /// Largest time between the end of all work and the exit, and the part of the time to stop
 /// that it and the time before the end of the time to stop take at most. Within it, all
 /// open requests are answered, also by a process with 3% of a core.
@@ -17,7 +19,7 @@
 /// When the work of a process that stops must have ended, and when it exits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopTimes {
-    work_end: Instant,
+    work: StopPlan,
     stream_end: Instant,
     exit: Instant,
 }
@@ -29,7 +31,7 @@
         let answering = ANSWER_TIME.min(grace / ANSWER_DIVISOR);
         let margin = EXIT_MARGIN.min(grace / EXIT_DIVISOR);
         Self {
-            work_end: requested + (grace - answering),
+            work: StopPlan::new(requested + (grace - answering)),
             stream_end: requested + (grace - answering.min(2 * margin)),
             exit: requested + (grace - margin),
         }
@@ -38,7 +40,7 @@
     /// Returns when the work on all requests must have ended, so that what is open gets
     /// its answer.
     pub fn work_end(&self) -> Instant {
-        self.work_end
+        self.work.work_end()
     }
 
     /// Returns when streams that have begun are ended. Until then their callers may read
@@ -55,14 +57,12 @@
     /// Returns whether a request may begin that is expected to take `expected`. One whose
     /// own `deadline` passes before ends by then in any case.
     pub fn may_begin(&self, expected: Duration, deadline: Instant, now: Instant) -> bool {
-        deadline <= self.work_end || self.until_latest_start(expected, now) > Duration::ZERO
+        deadline <= self.work_end() || self.work.can_end(now, expected)
     }
 
     /// Returns the time until a request that is expected to take `expected` can no longer
     /// begin, zero once it can't.
     pub fn until_latest_start(&self, expected: Duration, now: Instant) -> Duration {
-        self.work_end
-            .saturating_duration_since(now)
-            .saturating_sub(expected)
+        self.work.time_to_begin(now, expected)
     }
 }
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -13,10 +13,9 @@
 use lycheehaven_types::Clock;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
-use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
-use lycheehaven_types::RunTimes;
 use lycheehaven_types::StopPlan;
+use lycheehaven_types::WorkTimes;
 use tokio::sync::Notify;
 
 /// What a request asks of its upstream.
@@ -35,7 +34,7 @@
     clock: Rc<dyn Clock>,
     plan: Cell<Option<StopPlan>>,
     changed: Notify,
-    run_times: RefCell<HashMap<(Name, Work), RunTimes>>,
+    work_times: RefCell<WorkTimes<(Name, Work)>>,
 }
 
 impl Shutdown {
@@ -45,7 +44,7 @@
             clock,
             plan: Cell::new(None),
             changed: Notify::new(),
-            run_times: RefCell::default(),
+            work_times: RefCell::default(),
         }
     }
 
@@ -119,16 +118,16 @@
     /// Records work for a service that was answered.
     pub(crate) fn record_run(&self, service: &Name, work: Work, began: Instant) {
         let now = self.clock.now();
-        let mut run_times = self.run_times.borrow_mut();
-        let times = run_times.entry((service.clone(), work)).or_default();
-        times.observe(now.saturating_duration_since(began), now);
+        let taken = now.saturating_duration_since(began);
+        let mut work_times = self.work_times.borrow_mut();
+        work_times.record(&(service.clone(), work), taken, now);
     }
 
     /// Returns the time that work for a service is expected to take.
     pub(crate) fn expected(&self, service: &Name, work: Work) -> Duration {
-        let run_times = self.run_times.borrow();
-        let known = run_times.get(&(service.clone(), work));
-        known.map_or(Duration::ZERO, RunTimes::expected)
+        let now = self.clock.now();
+        let work_times = self.work_times.borrow();
+        work_times.expected(&(service.clone(), work), Duration::ZERO, now)
     }
 
     /// Reads the body of a request for work that takes `expected`, as long as that can
--- a/crates/gateway/src/load_guard.rs
+++ b/crates/gateway/src/load_guard.rs
@@ -7,8 +7,8 @@
 use lycheehaven_dispatch::Activity;
 use lycheehaven_dispatch::Load;
 use lycheehaven_dispatch::PRIORITY_LEVELS;
-use lycheehaven_dispatch::RunNumber;
 use lycheehaven_types::Name;
+use lycheehaven_types::RunNumber;
 
 use crate::attempt::Job;
 use crate::node::Node;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,7 +19,6 @@
 use lycheehaven_dispatch::CostModel;
 use lycheehaven_dispatch::LoadTracker;
 use lycheehaven_dispatch::Pauses;
-use lycheehaven_dispatch::WorkTimes;
 use lycheehaven_duties::Demand;
 use lycheehaven_duties::MedianClock;
 use lycheehaven_duties::Usage;
@@ -35,6 +34,7 @@
 use lycheehaven_types::Clock;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::Name;
+use lycheehaven_types::WorkTimes;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -73,7 +73,7 @@
     pub(crate) role: Cell<Role>,
     pub(crate) last_reports: RefCell<HashMap<Name, LastReport>>,
     pub(crate) loads: RefCell<LoadTracker>,
-    pub(crate) work_times: Rc<RefCell<WorkTimes>>,
+    pub(crate) work_times: Rc<RefCell<WorkTimes<Name>>>,
     pub(crate) pauses: RefCell<Pauses>,
     /// Request rates that upstreams state, and permits for requests to them.
     pub(crate) permits: RefCell<Permits>,
--- a/crates/gateway/src/schedule.rs
+++ b/crates/gateway/src/schedule.rs
@@ -14,10 +14,10 @@
 use lycheehaven_catalog::Route;
 use lycheehaven_catalog::RouteKind;
 use lycheehaven_dispatch::StopTimes;
-use lycheehaven_dispatch::WorkTimes;
 use lycheehaven_types::ErrorKind;
 use lycheehaven_types::Failure;
 use lycheehaven_types::Name;
+use lycheehaven_types::WorkTimes;
 
 use crate::evacuate::DEFAULT_TOKEN_INTERVAL;
 use crate::node::Node;
@@ -57,7 +57,7 @@
     /// When the caller or the route ends it.
     pub(crate) deadline: Instant,
     route: Name,
-    work_times: Rc<RefCell<WorkTimes>>,
+    work_times: Rc<RefCell<WorkTimes<Name>>>,
     /// Time that is assumed while nothing is known of the route.
     assumed: Duration,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,11 +9,11 @@
 mod request_rate;
 mod retry_after;
 mod revision;
-mod run_times;
 mod sliding_sum;
 mod stop_plan;
 
 pub mod wire;
+mod work_times;
 
 pub use clock::Clock;
 pub use clock::ManualClock;
@@ -38,12 +38,13 @@
 pub use revision::era_of;
 pub use revision::number_of;
 pub use revision::revision;
-pub use run_times::RunTimes;
 pub use sliding_sum::SlidingSum;
 pub use stop_plan::StopPlan;
 pub use wire::WireAmount;
 pub use wire::WireCount;
 pub use wire::WireDuration;
+pub use work_times::RunNumber;
+pub use work_times::WorkTimes;
 
 /// Hash map with a fast, non-cryptographic hasher. Keys chosen by callers are
 /// hashed to [`Digest`] before they are used here.
--- a/crates/types/src/stop_plan.rs
+++ b/crates/types/src/stop_plan.rs
@@ -28,6 +28,11 @@
         Self::new(now + (time_left - margin))
     }
 
+    /// Returns when the work must have ended.
+    pub fn work_end(self) -> Instant {
+        self.work_end
+    }
+
     /// Returns the plan whose work ends first.
     pub fn earlier(self, other: Self) -> Self {
         Self::new(self.work_end.min(other.work_end))
--- a/crates/types/tests/stop_plan.rs
+++ b/crates/types/tests/stop_plan.rs
@@ -1,9 +1,8 @@
-//! The end of the work of a stopping process, and what is expected to end by then.
+//! The end of the work of a stopping process.
 
 use std::time::Duration;
 use std::time::Instant;
 
-use lycheehaven_types::RunTimes;
 use lycheehaven_types::StopPlan;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -37,17 +36,3 @@
     assert_eq!(plan(1_500), StopPlan::new(now + SECOND));
     assert_eq!(plan(0), StopPlan::new(now));
 }
-
-#[test]
-fn longest_time_is_expected_until_it_is_forgotten() {
-    let now = Instant::now();
-    let mut times = RunTimes::default();
-    assert_eq!(times.expected(), Duration::ZERO);
-    times.observe(3 * SECOND, now);
-    times.observe(SECOND, now + SECOND);
-    assert_eq!(times.expected(), 3 * SECOND);
-    times.observe(SECOND, now + 61 * SECOND);
-    assert_eq!(times.expected(), 3 * SECOND);
-    times.observe(2 * SECOND, now + 122 * SECOND);
-    assert_eq!(times.expected(), 2 * SECOND);
-}
--- a/crates/dispatch/tests/work_times.rs
+++ b/crates/types/tests/work_times.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use lycheehaven_dispatch::WorkTimes;
 use lycheehaven_types::Name;
+use lycheehaven_types::WorkTimes;
 
-fn record(times: &mut WorkTimes, route: &str, millis: impl IntoIterator<Item = u64>) {
+fn record(times: &mut WorkTimes<Name>, route: &str, millis: impl IntoIterator<Item = u64>) {
     let route = Name::from(route);
     for taken in millis {
         times.record(&route, Duration::from_millis(taken), Instant::now());
@@ -21,13 +21,13 @@
 /// Time that is assumed where nothing is known.
 const ASSUMED_MS: u64 = 700;
 
-fn expected_at(times: &WorkTimes, route: &str, now: Instant) -> u64 {
+fn expected_at(times: &WorkTimes<Name>, route: &str, now: Instant) -> u64 {
     let assumed = Duration::from_millis(ASSUMED_MS);
     let expected = times.expected(&Name::from(route), assumed, now);
     expected.as_millis() as u64
 }
 
-fn expected_ms(times: &WorkTimes, route: &str) -> u64 {
+fn expected_ms(times: &WorkTimes<Name>, route: &str) -> u64 {
     expected_at(times, route, Instant::now())
 }
 
@@ -75,7 +75,7 @@
     for index in 0..5000 {
         record(&mut times, &format!("r{index}"), [index]);
     }
-    assert_eq!(times.route_count(), 1024);
+    assert_eq!(times.kind_count(), 1024);
     assert_eq!(expected_ms(&times, "r4999"), slack(4999));
 }
 
@@ -106,6 +106,6 @@
         record(&mut times, &format!("r{index}"), [index]);
     }
     times.end(&route, run);
-    assert_eq!(times.route_count(), 1024);
+    assert_eq!(times.kind_count(), 1024);
     assert_eq!(expected_ms(&times, "a"), ASSUMED_MS);
 }
