Say of a call that an earlier claim holds that it may have run

Cause: an entry that stops answers a call that may run once with 503, outcome "not run", where it has not sent it itself. While it asks the holder of an earlier claim of the same key, the call may run there: a caller that had come back to this entry was told that it had not run.

Change: the call counts as one that may have been sent from the answer that another claim holds it until the holder says that it has not run.

Conclusion: the promise of a refusal at a stop holds for keys as well as for this entry's sends.

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -275,9 +275,14 @@
             let message = "the idempotency key belongs to a different request";
             return Err(Failure::new(ErrorKind::KeyReused, message));
         }
+        // It may run there.
+        record.is_sent.set(true);
         match query_holder(node, once.shard, held).await {
             ClaimStatus::Answered(answer) => return Ok(answer),
-            ClaimStatus::NotRun => claim_shards::evict_shard(node, once.shard),
+            ClaimStatus::NotRun => {
+                record.is_sent.set(false);
+                claim_shards::evict_shard(node, once.shard);
+            }
             ClaimStatus::Running | ClaimStatus::Unknown => break,
         }
     }
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -82,7 +82,8 @@
     pub(crate) features: Rc<[Feature]>,
     /// When the last attempt began.
     pub(crate) attempted: Cell<Instant>,
-    /// Whether the call of a plain service may have been sent.
+    /// Whether the call of a plain service may have been sent, here or by the holder of an
+    /// earlier claim.
     pub(crate) is_sent: Cell<bool>,
     /// Number of attempts that were given up because of silence.
     pub(crate) silent_attempts: Cell<u32>,
--- a/tests/all/claims.rs
+++ b/tests/all/claims.rs
@@ -293,3 +293,32 @@
         assert_eq!(service.state().run_count(&key), 0);
     });
 }
+
+/// Guards against "not run" for a call that runs at another entry, of an entry that stops
+/// while it waits for that one.
+#[test]
+fn call_that_runs_at_another_entry_is_not_reported_not_run_by_a_stop() {
+    run(async {
+        let cluster = start().await;
+        let key = new_key();
+        cluster.services[0].1.state().delay = Duration::from_secs(4);
+        let retry = async {
+            wait_until("the call to run", || {
+                cluster.services[0].1.state().run_count(&key) == 1
+            })
+            .await;
+            let stop = async {
+                compio::time::sleep(Duration::from_millis(500)).await;
+                cluster.entries[1].terminate();
+                compio::time::sleep(Duration::from_millis(500)).await;
+                // The second signal ends the work.
+                cluster.entries[1].terminate();
+            };
+            join(quote(&cluster, 1, &key), stop).await.0
+        };
+        let (first, again) = join(quote(&cluster, 0, &key), retry).await;
+        assert_eq!(first.status, 200, "{first:?}");
+        assert_eq!(error_body(&again)["outcome"], "unknown", "{again:?}");
+        assert_eq!(cluster.services[0].1.state().run_count(&key), 1);
+    });
+}
