Let a stopping gateway wait for callers whose refused bodies are discarded

Cause: a request that can't end in the grace time is refused within its body, and what its caller still sends is discarded for up to 3 s. The stop did not count that: with no other request open the process ended 300 ms after the refusal, and its caller's next bytes were answered with a reset. A caller that reads behind its body finds its connection closed instead of the 503.

Change: connections on which bytes are discarded keep the process until the exit time, as open requests do. The listener, the refusals and the exit time stay as they are.

Conclusion: a refusal within a body is delivered as long as the grace time lasts. The own interface has the same gap (entry/src/handover.rs) and is not changed here.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -294,7 +294,7 @@
             // Closing idle connections makes callers reconnect to another entry.
             node.stop_accepting.cancel();
         }
-        if node.open_requests.count() > 0 {
+        if node.open_requests.has_clients() {
             quiet_since = None;
             continue;
         }
--- a/crates/net/src/open_requests.rs
+++ b/crates/net/src/open_requests.rs
@@ -14,6 +14,7 @@
 use hyper::header::HeaderValue;
 
 use crate::request_bounds::RequestBounds;
+use crate::tasks::CountGuard;
 
 /// What an open request waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +68,7 @@
     next: Cell<u64>,
     count: Cell<usize>,
     is_closing: Cell<bool>,
+    discarding: Rc<Cell<usize>>,
     connections: RefCell<BTreeMap<u64, Rc<Activity>>>,
 }
 
@@ -84,6 +86,7 @@
             next: Cell::new(0),
             count: Cell::new(0),
             is_closing: Cell::new(false),
+            discarding: Rc::default(),
             connections: RefCell::default(),
         }))
     }
@@ -93,6 +96,17 @@
         self.0.count.get()
     }
 
+    /// Returns whether a request is open, or a client may still send what is discarded behind
+    /// its last answer. The end of the process would reset its connection.
+    pub fn has_clients(&self) -> bool {
+        self.count() > 0 || self.0.discarding.get() > 0
+    }
+
+    /// Counts a connection on which bytes are discarded until the result is dropped.
+    pub(crate) fn begin_discard(&self) -> CountGuard {
+        CountGuard::new(self.0.discarding.clone())
+    }
+
     /// Returns the open requests in the order of their connections.
     pub fn list(&self) -> Vec<OpenRequest> {
         let connections = self.0.connections.borrow();
--- a/crates/net/src/server_connection.rs
+++ b/crates/net/src/server_connection.rs
@@ -75,7 +75,7 @@
             handler,
             activity: activity.clone(),
             token: token.clone(),
-            open,
+            open: open.clone(),
             rest: rest.clone(),
             rest_wait: limits.header_timeout,
         });
@@ -87,6 +87,7 @@
         });
         let stream = FairStream::for_server(HyperStream::new_plain(stream), activity.clone());
         if run(stream, service, limits, &token, &activity, &rest).await {
+            let _discarding = open.begin_discard();
             discard(&ending.socket).await;
         }
         drop(ending);
