Let callers of a stopping entry send the rest of a refused body

Cause: a call that can't end before an entry stops is refused within its body. The stop did not wait for what its caller still sent, and a connection that closes because the server stops was reset with bytes unread, on both doors: the caller found a broken pipe, and could lose the 503.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -83,7 +83,7 @@
 /// Returns whether a caller has not got its answer whole, or a record is not over.
 fn has_open_requests(node: &Node) -> bool {
     let records = node.records.borrow();
-    node.open_requests.count() > 0 || records.values().any(|record| is_open(record))
+    node.open_requests.has_clients() || records.values().any(|record| is_open(record))
 }
 
 fn is_open(record: &Record) -> bool {
@@ -94,7 +94,7 @@
 async fn linger(node: &Node) {
     let began = node.now();
     let passed = || node.now().saturating_duration_since(began);
-    while passed() < LINGER || (node.open_requests.count() > 0 && passed() < MAX_LINGER) {
+    while passed() < LINGER || (node.open_requests.has_clients() && passed() < MAX_LINGER) {
         sleep_ms(POLL_MS).await;
     }
 }
--- a/crates/net/src/server_connection.rs
+++ b/crates/net/src/server_connection.rs
@@ -8,6 +8,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -146,7 +147,7 @@
             Some(Ok(())) => return !is_blank(&parts.read_buf) || activity.is_body_unread(),
             // The stream is dropped without a shutdown, which would let bytes be read
             // until it is done.
-            None if is_blank(&parts.read_buf) => return false,
+            None if is_blank(&parts.read_buf) => return activity.is_body_unread(),
             None => {
                 // A part of a request was read with one whose body has an unknown size.
                 let stream = parts.io.with_prefix(parts.read_buf);
@@ -188,6 +189,8 @@
 /// the connection. The close of a connection with unread bytes is a reset, which
 /// destroys the part of an answer that the client has not received.
 async fn discard(mut socket: &TcpStream) {
+    // The client may have left.
+    let _ = SockRef::from(socket).shutdown(Shutdown::Write);
     let bytes = Cell::new(0);
     let read = async {
         let mut buffer = Vec::with_capacity(DISCARD_BYTES);
--- a/tests/all/late_in_stop.rs
+++ b/tests/all/late_in_stop.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::io;
+use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -15,6 +17,8 @@
 use lycheehaven_standins::OPERATOR_KEY;
 use lycheehaven_standins::RawRequest;
 use lycheehaven_standins::RawServer;
+use lycheehaven_standins::WORKSPACE_KEY;
+use lycheehaven_standins::wait_until;
 use serde_json::json;
 
 use crate::late_caller::CALLER_TIMEOUT;
@@ -46,6 +50,10 @@
 /// Step between the ends of two bodies, in milliseconds.
 const BODY_STEP: usize = 500;
 
+/// Interval between the bytes of a slow body, and their number.
+const BYTE_INTERVAL: Duration = Duration::from_millis(250);
+const BYTES: usize = 16;
+
 /// Events of a streamed answer.
 const EVENTS: u64 = 10;
 
@@ -325,3 +333,44 @@
     }
     .check();
 }
+
+/// Sends the body of a call byte by byte, then reads the answer.
+fn send_bytewise(addr: SocketAddr) -> io::Result<String> {
+    let mut stream = TcpStream::connect(addr)?;
+    let head = format!(
+        "POST /v1/services/hinnalaud/quote/slow HTTP/1.1\r\nHost: {addr}\r\n\
+         Authorization: Bearer {WORKSPACE_KEY}\r\nIdempotency-Key: slow-1\r\n\
+         Content-Length: {BYTES}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    for _ in 0..BYTES {
+        std::thread::sleep(BYTE_INTERVAL);
+        stream.write_all(b" ")?;
+    }
+    let mut received = [0; 4096];
+    let length = stream.read(&mut received)?;
+    Ok(String::from_utf8_lossy(&received[..length]).into_owned())
+}
+
+/// Guards against a reset of the connection of a caller that reads its refusal behind its
+/// body.
+#[test]
+fn caller_refused_within_its_body_may_send_the_rest_before_it_reads() {
+    run(async {
+        let case = Case::new(2_000);
+        let servers = [service(case.work), engine(case.work)];
+        let cluster = case.start(&servers).await;
+        let addr = cluster.entries[0].listen;
+        let first = [late(Kind::Once, addr, "first", Duration::ZERO)];
+        for received in send_all(addr, &first, Instant::now()).await {
+            assert_eq!(end_of(&received), End::Served, "{received}");
+        }
+        let caller = std::thread::spawn(move || send_bytewise(addr));
+        case.stop(&cluster, Instant::now()).await;
+        wait_until("the caller to end", || caller.is_finished()).await;
+        let received = caller.join().expect("the caller does not panic");
+        let received = received.expect("the whole body is sent and the answer is read");
+        assert_eq!(end_of(&received), End::Refused, "{received}");
+        assert_eq!(ran(&servers, "slow"), 0);
+    });
+}
