Leave requests to the hand-over once the work of a stopping entry is over

Cause: at the end of a stop an entry offers its records to a peer. While it waits for the peer, the task of a request that no upstream has begun saw that the work was over and answered 503, outcome "not run"; the peer had taken the request over and ran it. The same answer followed where a peer took records over and answered too late, and a run could begin behind the answer if the request ended while its task waited for a permit.

Change: once the work is over, the tasks of requests neither begin a run nor decide the answer. What was offered to a peer counts as a request that may run; nothing begins behind a wait for a permit if the request or the work has ended meanwhile.

The wait for a permit is not shown by a test.

Conclusion: a refusal at the end of a stop is given only for what no peer may have.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -141,7 +141,7 @@
     if record.is_over() {
         return;
     }
-    let is_sent = relay::may_have_run(record);
+    let is_sent = relay::may_have_run(record) || record.is_sent.get();
     log::warn!(
         target: "lycheehaven",
         request = record.request.id.as_str(), tokens = record.token_count(), is_sent = is_sent;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -89,6 +89,11 @@
         if let Some(target) = choose_target(&node, &record, &prompt).await
             && is_permitted(&node, &target).await
         {
+            // The work, or the request, may have ended meanwhile.
+            if record.is_over() || node.shutdown.is_work_over() {
+                release(&node, &target);
+                continue;
+            }
             successor = run_attempt(&node, &record, &prompt, &target).await;
         }
     }
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -91,6 +91,11 @@
             .is_none_or(|plan| plan.can_end(now, expected))
     }
 
+    /// Returns whether the work must have ended: what is open is handed over, or ends.
+    pub(crate) fn is_work_over(&self) -> bool {
+        !self.can_end(Duration::ZERO)
+    }
+
     /// Waits until work that takes `expected` can no longer end before this entry stops.
     pub(crate) async fn too_late(&self, expected: Duration) {
         loop {
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -52,6 +52,11 @@
     record: &Rc<Record>,
     prompt: &Prompt,
 ) -> Option<Target> {
+    if node.shutdown.is_work_over() {
+        // A peer may have taken over the record and not answered yet.
+        sleep_ms(RETRY_MS).await;
+        return None;
+    }
     if fail_if_unservable(node, record) {
         return None;
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod cut_calls;
 mod cut_heads;
 mod early_answers;
+mod hand_over;
 mod late_caller;
 mod late_fetch;
 mod late_in_stop;
