End no answer that a stopping entry passes on with an event that does not belong to it

Cause: read by the review, not played: where the work of a stopping entry ends after the head of a peer's answer and before its first bytes, a buffered JSON answer got the event that says where a stream goes on as its body; a caller that reads slowly held the entry beyond that end, without a reason. Change: the event is written only behind whole events of a response that is an event stream; anything else breaks off. The sending to the caller ends with the work, too. Conclusion: closed by reading; not shown by a test.

--- a/crates/entry/src/fetch.rs
+++ b/crates/entry/src/fetch.rs
@@ -13,6 +13,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::header::ACCEPT;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use lycheehaven_net::Body;
@@ -25,6 +26,7 @@
 use lycheehaven_types::Failure;
 use lycheehaven_types::Name;
 use lycheehaven_types::RequestId;
+use lycheehaven_types::is_event_stream;
 
 use crate::node::Node;
 use crate::node::PEER_KEY_HEADER;
@@ -211,8 +213,18 @@
         return None;
     }
     let (parts, incoming) = response.into_parts();
+    let content_type = parts.headers.get(CONTENT_TYPE);
+    let is_stream = content_type
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(is_event_stream);
     let (sender, body) = Body::channel(1);
-    spawn_detached(pass_on(node.clone(), id.clone(), incoming, sender));
+    spawn_detached(pass_on(
+        node.clone(),
+        id.clone(),
+        incoming,
+        is_stream,
+        sender,
+    ));
     let mut forwarded = Response::from_parts(parts, body);
     forwarded
         .headers_mut()
@@ -222,16 +234,17 @@
 }
 
 /// Passes on a peer's response until it ends, or until this entry stops: then the caller is
-/// told to fetch the rest elsewhere if it has whole events, and its connection breaks if
-/// not.
+/// told to fetch the rest elsewhere if it has whole events of a stream, and its connection
+/// breaks if not.
 async fn pass_on(
     node: Rc<Node>,
     id: RequestId,
     incoming: hyper::body::Incoming,
+    is_stream: bool,
     mut sender: BodySender,
 ) {
     let mut frames = BodyStream::new(incoming);
-    let mut is_between_events = true;
+    let mut is_between_events = is_stream;
     loop {
         let frame = select! {
             frame = frames.next().fuse() => frame,
@@ -243,11 +256,13 @@
             Some(Err(cause)) => Ok(Err(io::Error::other(cause))),
         };
         let Ok(data) = data else { continue };
-        if let Ok(bytes) = &data {
-            is_between_events = bytes.ends_with(b"\n\n");
-        }
-        if sender.send(data).await.is_err() {
-            return;
+        let ends_event = data.as_ref().is_ok_and(|bytes| bytes.ends_with(b"\n\n"));
+        select! {
+            sent = sender.send(data).fuse() => match sent {
+                Ok(()) => is_between_events = is_stream && ends_event,
+                Err(_) => return,
+            },
+            () = node.shutdown.work_end().fuse() => break,
         }
     }
     log::warn!(
