Log that the rest of an answered request did not come in time

Cause: a connection that closes because the rest of a body behind its answer does not come left no line. Change: a debug line, as for what is discarded behind a last answer. Conclusion: the census of endings has a line for this place too.

--- a/crates/net/src/server_connection.rs
+++ b/crates/net/src/server_connection.rs
@@ -143,7 +143,10 @@
             }
             // The client has had time to read the answer, and a reset tells it that nothing
             // behind it was read.
-            Some(Ok(())) if rest.has_expired() => return false,
+            Some(Ok(())) if rest.has_expired() => {
+                log::debug!(target: "lycheehaven", "the rest of an answered request did not come in time");
+                return false;
+            }
             Some(Ok(())) => return !is_blank(&parts.read_buf) || activity.is_body_unread(),
             // The stream is dropped without a shutdown, which would let bytes be read
             // until it is done.
