--- a/crates/gateway/src/relay/silence.rs
+++ b/crates/gateway/src/relay/silence.rs
@@ -3,10 +3,13 @@
 
 use std::time::Duration;
 
+use futures_util::FutureExt;
+use futures_util::select_biased;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use hyper::body::Frame;
 use lycheehaven_catalog::Upstream;
+use lycheehaven_dispatch::MAX_OVERLAP;
 
 use super::Input;
 use super::Relay;
@@ -24,6 +27,13 @@
 /// What a read of a response's body returns.
 type Read = Option<Result<Frame<Bytes>, hyper::Error>>;
 
+/// Which of two runs of a stream was heard first.
+enum First {
+    Silent(Read),
+    Other(Read),
+    Neither,
+}
+
 impl Relay {
     /// Waits for bytes of the run. While it is silent, other upstreams are asked to go on
     /// with the stream.
@@ -137,6 +147,10 @@
                 |read| matches!(read, Some(Err(_))),
             )
             .await;
+        let (raced, first) = match raced {
+            Raced::Accepted(response) => self.await_first_event(response).await,
+            raced => (raced, Bytes::new()),
+        };
         let raced = if self.state.is_moving() {
             self.withdraw(raced)
         } else {
@@ -145,7 +159,7 @@
         match raced {
             Raced::Stayed => None,
             Raced::Heard(read) => Some(self.receive(read)),
-            Raced::Accepted(response) => self.move_to(response),
+            Raced::Accepted(response) => self.move_to(response, first),
             Raced::GivenUp(ask) => Some(
                 self.follow_ask(ask, Ending::GivenUp, "the upstream hangs")
                     .await,
@@ -160,15 +174,55 @@
         }
     }
 
+    /// Reads what follows from the silent run and from another upstream that has accepted
+    /// the request, for as long as both may work. The silent run is kept if it goes on, or
+    /// if the other one has no event left. Returns the first bytes of the other one.
+    async fn await_first_event(
+        &mut self,
+        mut response: Box<UpstreamResponse>,
+    ) -> (Raced<Read>, Bytes) {
+        let Some(run) = &mut self.run else {
+            return (Raced::Accepted(response), Bytes::new());
+        };
+        let until = response.run.sent + MAX_OVERLAP;
+        let wait = until.saturating_duration_since(self.node.now());
+        let first = select_biased! {
+            read = run.body.frame().fuse() => First::Silent(read),
+            read = response.response.body_mut().frame().fuse() => First::Other(read),
+            () = compio::time::sleep(wait).fuse() => First::Neither,
+        };
+        match first {
+            First::Silent(Some(Err(_))) | First::Neither => {
+                (Raced::Accepted(response), Bytes::new())
+            }
+            First::Other(Some(Ok(frame))) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                (Raced::Accepted(response), bytes)
+            }
+            First::Silent(read) => {
+                self.dismiss(&response);
+                (Raced::Heard(read), Bytes::new())
+            }
+            First::Other(None | Some(Err(_))) => {
+                self.dismiss(&response);
+                self.silence.postpone(self.node.now());
+                (Raced::Stayed, Bytes::new())
+            }
+        }
+    }
+
+    /// Counts a run at another upstream that the stream does not go on with.
+    fn dismiss(&mut self, response: &UpstreamResponse) {
+        let key = &response.upstream.key;
+        self.job.sends.add(key);
+        self.tries.add(key);
+    }
+
     /// Cancels what was asked for, as a move of the run has begun meanwhile.
     fn withdraw(&mut self, raced: Raced<Read>) -> Raced<Read> {
         match raced {
             Raced::Stayed | Raced::Heard(_) => return raced,
-            Raced::Accepted(response) => {
-                let key = &response.upstream.key;
-                self.job.sends.add(key);
-                self.tries.add(key);
-            }
+            Raced::Accepted(response) => self.dismiss(&response),
             Raced::GivenUp(ask) => ask.cancel(&self.job, &mut self.tries),
             Raced::Lost(read, ask) => {
                 ask.cancel(&self.job, &mut self.tries);
@@ -193,9 +247,9 @@
         }
     }
 
-    /// Goes on with another upstream that has accepted the request, and cancels the silent
-    /// run.
-    fn move_to(&mut self, response: Box<UpstreamResponse>) -> Option<Input> {
+    /// Goes on with another upstream that has accepted the request and has sent `first` of its
+    /// body, and cancels the silent run.
+    fn move_to(&mut self, response: Box<UpstreamResponse>, first: Bytes) -> Option<Input> {
         let now = self.node.now();
         let left = self.state.upstream.borrow().clone();
         let other = response.upstream.key.clone();
@@ -210,7 +264,7 @@
         }
         self.report_silence(&run, silent, Ending::Moved, Some(&other.id));
         self.record_left(run, &left);
-        Some(Input::Bytes(Bytes::new()))
+        Some(Input::Bytes(first))
     }
 
     /// Cancels the run and waits for another upstream that was asked.
