--- a/crates/dispatch/src/stop_times.rs
+++ b/crates/dispatch/src/stop_times.rs
@@ -7,7 +7,7 @@
 
 /// Largest time between the end of all work and the exit, and the part of the time to stop
 /// that it and the time before the end of the time to stop take at most. Within it, all
-/// open requests are answered, also by a process with 3% of a core.
+/// open requests are to be answered, also by a process with a small part of a core.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
 const ANSWER_DIVISOR: u32 = 8;
 
