--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -41,6 +41,9 @@
     pub key: UpstreamKey,
     /// Service that it runs.
     pub service: Name,
+    /// Version of its software, empty if it states none. What two versions write for one
+    /// stream does not fit together.
+    pub software: Name,
     /// Address for requests.
     pub addr: SocketAddr,
     /// Failure domain.
--- a/crates/catalog/tests/support/mod.rs
+++ b/crates/catalog/tests/support/mod.rs
@@ -17,6 +17,7 @@
             incarnation,
         },
         service: "llm".into(),
+        software: "v1".into(),
         addr: "127.0.0.1:80".parse().expect("the address is valid"),
         domain: "keila".into(),
         slots: 4,
--- a/crates/dispatch/tests/choose.rs
+++ b/crates/dispatch/tests/choose.rs
@@ -35,6 +35,7 @@
                 incarnation: 1,
             },
             service: "llm".into(),
+            software: "v1".into(),
             addr: "127.0.0.1:80".parse().expect("the address is valid"),
             domain: if index % 2 == 0 { "even" } else { "odd" }.into(),
             slots: 64,
--- a/crates/dispatch/tests/eligible_model.rs
+++ b/crates/dispatch/tests/eligible_model.rs
@@ -67,6 +67,7 @@
     Upstream {
         key: key.clone(),
         service: SERVICE.into(),
+        software: "v1".into(),
         addr: "127.0.0.1:80".parse().expect("the address is valid"),
         domain: "keila".into(),
         slots: 8,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,7 @@
     pub(crate) limited_sends: Counter,
     pub(crate) connections: Counter,
     silences: Family<OutcomeLabel, Counter>,
+    take_ups: Family<OutcomeLabel, Counter>,
     pub(crate) unreadable_objects: Counter,
     pub(crate) rejected_configs: Counter,
     dropped_lines: Gauge,
@@ -71,6 +72,7 @@
             limited_sends: Counter::default(),
             connections: Counter::default(),
             silences: Family::default(),
+            take_ups: Family::default(),
             unreadable_objects: Counter::default(),
             rejected_configs: Counter::default(),
             dropped_lines: Gauge::default(),
@@ -118,6 +120,11 @@
             "Requests whose upstream was silent for long, by how the silence ended",
             self.silences.clone(),
         );
+        registry.register(
+            "take_ups",
+            "Requests that take an earlier stream up, by what became of them",
+            self.take_ups.clone(),
+        );
         registry.register(
             "unreadable_objects",
             "Objects in responses of the store that could not be read",
@@ -159,6 +166,11 @@
         self.silences.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request that takes an earlier stream up.
+    pub(crate) fn record_take_up(&self, outcome: &'static str) {
+        self.take_ups.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts an answer that a caller did not get whole.
     pub(crate) fn record_cut(&self, cut: Cut, planned: Planned) {
         let label = CutLabel {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use lycheehaven_adapter::upstream::ResponseHead;
+use lycheehaven_catalog::Upstream;
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_channels::Connection;
 use lycheehaven_dispatch::STREAM_SILENCE;
@@ -151,6 +152,10 @@
     job: &Rc<Job>,
     upstream_response: UpstreamResponse,
 ) -> Result<Response<Body>, String> {
+    if job.head.last_event.is_some() {
+        log_take_up(job, &upstream_response.upstream);
+        node.metrics.record_take_up("went_on");
+    }
     let state = StreamState::new(job, &upstream_response.upstream, node.now());
     let stream_id = node.streams.borrow_mut().add(state.clone());
     let (parts, mut run) = Run::begin(upstream_response, node.now());
@@ -193,6 +198,19 @@
     Ok(serve::caller_response(parts.status, &parts.headers, body))
 }
 
+/// Logs that a request takes a stream up at `upstream`.
+fn log_take_up(job: &Job, upstream: &Upstream) {
+    let resumes = job.head.resumes.as_ref();
+    log::info!(
+        target: "lycheehaven",
+        request = job.id(), route = &*job.route.name,
+        resumes = resumes.and_then(|id| id.to_str().ok()).unwrap_or("-"),
+        last_event = job.head.last_event.unwrap_or(0),
+        upstream = &*upstream.key.id, software = &*upstream.software;
+        "the request takes an earlier stream up"
+    );
+}
+
 /// Returns the number of tokens per event in the service's streams.
 fn event_tokens(node: &Node, job: &Job) -> u64 {
     evacuate::engine_spec(node, &job.service).map_or(1, |engine| u64::from(engine.event_tokens))
@@ -359,6 +377,19 @@
         attempt::confirm_end(&self.node, &self.job, upstream, run.info, run.began);
     }
 
+    /// Logs that the stream goes on with a run at `upstream`.
+    fn log_further_run(&self, upstream: &Upstream) {
+        let before = self.state.upstream.borrow();
+        log::info!(
+            target: "lycheehaven",
+            request = self.job.id(), route = &*self.job.route.name,
+            last_event = self.continuity.last().unwrap_or(0),
+            left = &*before.key.id, left_software = &*before.software,
+            upstream = &*upstream.key.id, software = &*upstream.software;
+            "the stream goes on with a further run"
+        );
+    }
+
     fn may_resume(&self) -> bool {
         self.job.route.resumable
             && self.job.sends.count() < self.job.route.max_attempts
@@ -422,6 +453,7 @@
             return false;
         };
         upstream_response.load_guard.response_started();
+        self.log_further_run(&upstream_response.upstream);
         self.state.begin_run(upstream_response.upstream.clone());
         let now = self.node.now();
         let (_, run) = Run::begin(*upstream_response, now);
