--- a/crates/dispatch/src/eligible.rs
+++ b/crates/dispatch/src/eligible.rs
@@ -5,7 +5,6 @@
 
 use lycheehaven_catalog::Directory;
 use lycheehaven_catalog::Upstream;
-use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_permits::Waits;
 
 use crate::pauses::Pause;
@@ -23,9 +22,9 @@
     AllLimited(Duration),
 }
 
-/// Returns the upstreams of `service` that may get a request which was sent to those in
-/// `tried` before: those that are ready, not leaving, not paused, and for which there may
-/// be a permit if they limit their requests.
+/// Returns the upstreams of `service` that may get a request for which `suits` holds: those
+/// that are ready, not leaving, not paused, and for which there may be a permit if they
+/// limit their requests.
 ///
 /// # Errors
 /// Returns why there is none.
@@ -34,12 +33,12 @@
     pauses: &Pauses,
     waits: &Waits,
     service: &'a str,
-    tried: &[UpstreamKey],
+    suits: impl Fn(&Upstream) -> bool,
     now: Instant,
 ) -> Result<Vec<&'a Upstream>, Ineligible> {
     let ready: Vec<&Upstream> = directory
         .ready(service)
-        .filter(|upstream| !tried.contains(&upstream.key))
+        .filter(|upstream| suits(upstream))
         .collect();
     let eligible: Vec<&Upstream> = ready
         .iter()
--- a/crates/dispatch/tests/eligible_model.rs
+++ b/crates/dispatch/tests/eligible_model.rs
@@ -163,7 +163,7 @@
                 .into_iter()
                 .filter(|key| history.may_be_chosen(key, now))
                 .collect();
-            match eligible(&directory, &pauses, &Waits::default(), SERVICE, &[], now) {
+            match eligible(&directory, &pauses, &Waits::default(), SERVICE, |_| true, now) {
                 Ok(candidates) => {
                     let tracker = LoadTracker::default();
                     let model = CostModel::default();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to send a request to an upstream.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -57,6 +58,9 @@
     pub(crate) body: Bytes,
     pub(crate) route: Rc<Route>,
     pub(crate) service: Name,
+    /// Software that made the first event of the stream, once the caller gets one. All of
+    /// its runs are at upstreams with this software.
+    pub(crate) software: OnceCell<Name>,
     pub(crate) workspace: Option<Name>,
     pub(crate) priority: u8,
     pub(crate) received: Instant,
--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -31,7 +31,7 @@
 
 /// Whether a response may continue a stream.
 pub(crate) fn may_continue(node: &Node, job: &Job, response: &UpstreamResponse) -> bool {
-    let Some(cause) = objection(response) else {
+    let Some(cause) = objection(job, response) else {
         return true;
     };
     let key = &response.upstream.key;
@@ -41,7 +41,11 @@
 }
 
 /// Returns why a response does not continue a stream.
-fn objection(response: &UpstreamResponse) -> Option<String> {
+fn objection(job: &Job, response: &UpstreamResponse) -> Option<String> {
+    let software = &response.upstream.software;
+    if job.software.get().is_some_and(|began| began != software) {
+        return Some(format!("the upstream runs another software: {software}"));
+    }
     let status = response.response.status();
     if status != StatusCode::OK {
         return Some(format!("the upstream returned status {status}"));
--- a/crates/gateway/src/evacuate.rs
+++ b/crates/gateway/src/evacuate.rs
@@ -31,6 +31,7 @@
 use crate::node::Node;
 use crate::notice;
 use crate::pick;
+use crate::pick::Unpicked;
 use crate::quarantine::Permission;
 
 /// Interval between checks for leaving engines, in milliseconds.
@@ -313,8 +314,19 @@
 async fn move_stream(node: &Rc<Node>, state: &StreamState) -> MoveOutcome {
     let source = state.upstream.borrow().clone();
     let tried = [source.key.clone()];
-    let target = match pick::pick_target(node, &state.job, &tried, Permission::Plain, node.now()) {
+    // The KV cache is of no use to another software, also before the first event.
+    let picked = pick::pick_with_software(
+        node,
+        &state.job,
+        Some(&source.software),
+        &tried,
+        Permission::Plain,
+        node.now(),
+    );
+    let target = match picked {
         Ok(target) => target,
+        // It would be logged at each check.
+        Err(Unpicked::SoftwareGone) => return MoveOutcome::Failed,
         Err(unpicked) => {
             log_move(state, &source, "no target", unpicked.message());
             return MoveOutcome::Failed;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! Handles requests from callers: decodes them and checks access and quotas.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -184,6 +185,7 @@
         head,
         body,
         service,
+        software: OnceCell::new(),
         workspace: workspace.map(|workspace| workspace.name.clone()),
         priority: priority.min(9),
         received,
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_catalog::Upstream;
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_dispatch::Ineligible;
 use lycheehaven_dispatch::Query;
@@ -44,6 +45,8 @@
 pub(crate) enum Unpicked {
     /// None may get any request.
     Ineligible(Ineligible),
+    /// None runs the software that began the stream.
+    SoftwareGone,
     /// All are excluded after failures, or have as many connections as they may.
     Excluded,
     /// The request would begin this much later than its target latency permits.
@@ -58,6 +61,7 @@
             Self::Ineligible(Ineligible::AllPaused(_)) => {
                 "all upstreams of the service want no requests for a while"
             }
+            Self::SoftwareGone => "no upstream runs the software that began the stream",
             Self::Excluded => "all upstreams of the service are excluded after failures",
             Self::Overloaded(_) => "all upstreams of the service are overloaded",
         }
@@ -68,7 +72,9 @@
         let message = self.message();
         match self {
             Self::Ineligible(Ineligible::AllLimited(first)) => limited(node, service, first, now),
-            Self::Ineligible(Ineligible::NoneReady) | Self::Excluded => no_upstream(message),
+            Self::Ineligible(Ineligible::NoneReady) | Self::SoftwareGone | Self::Excluded => {
+                no_upstream(message)
+            }
             Self::Ineligible(Ineligible::AllPaused(pause)) => {
                 let wait = pause.return_delay(rand::random(), now);
                 Failure::new(ErrorKind::Overloaded, message).retry_after(wait)
@@ -78,7 +84,8 @@
     }
 }
 
-/// Chooses a ready upstream that is not in `tried`.
+/// Chooses a ready upstream that is not in `tried`, and for a stream that has begun one
+/// that runs the software which began it.
 ///
 /// # Errors
 /// Returns why no upstream may get the request now.
@@ -88,13 +95,34 @@
     tried: &[UpstreamKey],
     permission: Permission,
     now: Instant,
+) -> Result<Target, Unpicked> {
+    pick_with_software(node, job, job.software.get(), tried, permission, now)
+}
+
+/// Chooses a ready upstream that is not in `tried` and runs `software`, if one is given.
+///
+/// # Errors
+/// Returns why no upstream may get the request now.
+pub(crate) fn pick_with_software(
+    node: &Node,
+    job: &Job,
+    software: Option<&Name>,
+    tried: &[UpstreamKey],
+    permission: Permission,
+    now: Instant,
 ) -> Result<Target, Unpicked> {
     let directory = node.directory.borrow();
+    let runs_software =
+        |upstream: &Upstream| software.is_none_or(|software| upstream.software == *software);
+    if software.is_some() && !directory.ready(&job.service).any(runs_software) {
+        return Err(Unpicked::SoftwareGone);
+    }
     let pauses = node.pauses.borrow();
     let eligible = {
         let permits = node.permits.borrow();
         let waits = permits.waits();
-        eligible(&directory, &pauses, waits, &job.service, tried, now)
+        let suits = |upstream: &Upstream| !tried.contains(&upstream.key) && runs_software(upstream);
+        eligible(&directory, &pauses, waits, &job.service, suits, now)
     };
     let candidates = eligible.map_err(|ineligible| {
         if tried.is_empty() && ineligible != Ineligible::NoneReady {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -292,6 +292,11 @@
             }
             self.pending.push_back(event.bytes);
         }
+        if self.pending.len() > queued {
+            let upstream = self.state.upstream.borrow();
+            let software = || upstream.software.clone();
+            self.job.software.get_or_init(software);
+        }
         self.state.set_resumable(self.continuity.is_resumable());
         let events = self.pending.len() - queued;
         self.count_tokens(events);
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -9,6 +9,7 @@
 use crate::attempt;
 use crate::attempt::Outcome;
 use crate::pick;
+use crate::pick::Unpicked;
 use crate::quarantine;
 use crate::quarantine::Permission;
 use crate::schedule::TOO_LATE;
@@ -89,8 +90,8 @@
         let permission = quarantine::check(node, &job.features)
             .map_err(|failure| Hindrance::Final(failure.message))?;
         let excluded = [&self.tries.tried[..], refused].concat();
-        let mut target = pick::pick_target(node, job, &excluded, permission, now)
-            .map_err(|unpicked| Hindrance::Passing(unpicked.message().into()))?;
+        let mut target =
+            pick::pick_target(node, job, &excluded, permission, now).map_err(hindrance)?;
         if !self.tries.pay(node, &job.service) {
             let reason = "the retry budget of the service is exhausted";
             return Err(Hindrance::Passing(reason.into()));
@@ -119,3 +120,14 @@
         })
     }
 }
+
+/// An upstream with other software never continues the stream, so nothing is waited for.
+fn hindrance(unpicked: Unpicked) -> Hindrance {
+    let reason = unpicked.message().to_owned();
+    match unpicked {
+        Unpicked::SoftwareGone => Hindrance::Final(reason),
+        Unpicked::Ineligible(_) | Unpicked::Excluded | Unpicked::Overloaded(_) => {
+            Hindrance::Passing(reason)
+        }
+    }
+}
