--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -130,6 +130,18 @@
         list.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the services, each once, of routes whose streams callers may take up again.
+    pub fn resumable_services(&self) -> Vec<Name> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.may_be_taken_up());
+        let mut services: Vec<Name> = resumable
+            .flat_map(|route| route.splits.iter().map(|split| split.service.clone()))
+            .collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
     /// Checks whether `key` grants access to `route`.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
         if route.public || self.workspaces.is_empty() {
--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -91,6 +91,8 @@
     /// be out of the copy to which the store went back.
     era_start: u64,
     loaded: bool,
+    /// Number of changes of what is registered or leaving.
+    changes: u64,
 }
 
 impl Directory {
@@ -107,6 +109,11 @@
         self.deferred_until = Some(until);
     }
 
+    /// Returns a number that rises with each change of what is registered or leaving.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns whether a full list has been applied.
     pub fn is_loaded(&self) -> bool {
         self.loaded
@@ -115,6 +122,7 @@
     /// Applies a full list of the registrations as of `revision`.
     pub fn replace(&mut self, list: Vec<Upstream>, revision: u64, now: Instant) {
         self.loaded = true;
+        self.changes += 1;
         if era_of(revision) > era_of(self.era_start) {
             self.era_start = revision;
         }
@@ -150,6 +158,7 @@
     pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
         let key = upstream.key.clone();
         let state = upstream.state;
+        self.changes += 1;
         if self.is_removed(&key, upstream.revision) {
             self.repeat_news(&key, upstream.revision, now);
             return false;
@@ -175,6 +184,7 @@
         if self.deferred_until.is_some_and(|until| now < until) {
             self.deferred.insert(id.clone());
         } else if let Some(upstream) = self.upstreams.remove(id) {
+            self.changes += 1;
             let seen_at = now;
             self.removed
                 .insert(upstream.key, Removed { revision, seen_at });
@@ -196,6 +206,7 @@
             .get(key)
             .is_some_and(|upstream| !self.is_written_since(upstream.revision, revision));
         if is_current {
+            self.changes += 1;
             self.upstreams.remove(&key.id);
         }
         is_current
@@ -258,6 +269,7 @@
     pub fn mark_leaving(&mut self, key: &UpstreamKey, now: Instant) -> bool {
         let newly_leaving = !self.leaving.contains_key(key);
         if newly_leaving {
+            self.changes += 1;
             let leaving = Leaving {
                 seen_at: now,
                 ends_at: None,
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Returns whether callers may take a broken stream up again.
+    pub fn may_be_taken_up(&self) -> bool {
+        self.kind == RouteKind::Streaming && self.resumable
+    }
+
+    /// Returns whether the route leads to `service`.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.splits.iter().any(|split| &*split.service == service)
+    }
+
     /// Picks the service for a request by a random `draw` from 0 to 1.
     pub fn pick_service(&self, draw: f64) -> &Name {
         let total: f64 = self.splits.iter().map(|split| split.weight).sum();
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -17,6 +17,7 @@
 use crate::message::decode_silent;
 use crate::node::LastReport;
 use crate::node::Node;
+use crate::origins;
 use crate::permits;
 use crate::quarantine;
 
@@ -69,6 +70,7 @@
     }
     permits::apply_reports(node, &status.rates, from);
     quarantine::apply_news(node, &status.news, from);
+    origins::apply_news(node, &status.origins, from);
     if let Some(age) = status.holder_age {
         node.record_holder(Duration::from_millis(age), now);
     }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -31,7 +31,9 @@
 use crate::lease::LeaseHandle;
 use crate::members;
 use crate::node::Node;
+use crate::origin_store;
 use crate::quarantine;
+use crate::served;
 use crate::settings::Settings;
 use crate::watch;
 
@@ -120,6 +122,8 @@
     let handle = lease.clone();
     spawn_node_loop(node, "hold the lease", move |_| handle.clone().run());
     spawn_node_loop(node, "duties", move |node| duty::run(node, lease.clone()));
+    spawn_node_loop(node, "list software", served::run);
+    spawn_node_loop(node, "write origins", origin_store::write_records);
     spawn_node_loop(node, "evacuate", evacuate::run);
     spawn_node_loop(node, "expire", expire);
     spawn_node_loop(node, "sweep", sweep);
@@ -270,6 +274,7 @@
     node.pauses.borrow_mut().prune(now);
     let mut permits = node.permits.borrow_mut();
     permits.prune(|key| directory.get(key).is_some(), now);
+    node.origins.borrow_mut().prune(now);
     let wall_ms = node.wall_millis();
     node.quarantine.borrow_mut().prune(wall_ms, now);
     let mut loads = node.loads.borrow_mut();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::message::Datagram;
 use crate::message::Message;
 use crate::node::Node;
+use crate::origins;
 use crate::permits;
 use crate::summary;
 
@@ -89,7 +90,7 @@
     }
 }
 
-fn aggregators(node: &Node, domain: &Name, interval: u64) -> Vec<SocketAddr> {
+pub(crate) fn aggregators(node: &Node, domain: &Name, interval: u64) -> Vec<SocketAddr> {
     let probes = interval.is_multiple_of(PROBE_INTERVALS);
     let mut roster = node.roster.borrow_mut();
     roster.aggregator_addresses(domain, probes, node.now())
@@ -127,6 +128,10 @@
                     send_to(&socket, answer.encode(), sender).await;
                 }
                 Ok(Some(Datagram::Answer(answer))) => permits::handle_answer(&node, &answer),
+                Ok(Some(Datagram::FindOrigins(streams))) => {
+                    origins::answer(&node, &socket, streams, sender);
+                }
+                Ok(Some(Datagram::Origins(groups))) => origins::merge(&node, &groups),
                 Ok(None) => {}
                 Err(cause) => {
                     let cause = cause.to_string();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -44,6 +44,7 @@
 use crate::endings::ResponseGuard;
 use crate::node::Node;
 use crate::node::REQUESTED_WINDOW;
+use crate::origins;
 use crate::quarantine;
 use crate::schedule;
 use crate::schedule::Schedule;
@@ -166,7 +167,12 @@
         .map_err(|_| Failure::new(ErrorKind::BadRequest, "the request target is invalid"))?;
     let caller_key = head.api_key.as_deref().unwrap_or_default();
     let digest = Digest::of(&[target.as_bytes(), caller_key.as_bytes(), &body]);
-    let service = route.pick_service(rand::random()).clone();
+    let workspace_name = workspace.map(|workspace| &*workspace.name);
+    let origin = origins::find(node, &head, &route, workspace_name).await?;
+    let service = match &origin {
+        Some(origin) => origin.service.clone(),
+        None => route.pick_service(rand::random()).clone(),
+    };
     let features = quarantine::features(digest, &service, &head.prompt);
     quarantine::check(node, &features)?;
     if let Some(workspace) = workspace {
@@ -185,7 +191,7 @@
         head,
         body,
         service,
-        software: OnceCell::new(),
+        software: origin.map_or_else(OnceCell::new, |origin| origin.software.into()),
         workspace: workspace.map(|workspace| workspace.name.clone()),
         priority: priority.min(9),
         received,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //! leaving engines, [`quarantine`] stops requests that crash upstreams, [`permits`]
 //! applies the request rates that upstreams state, and [`duty`] reports usage and scales
 //! engines while this entry holds the lease. [`endings`] logs and counts answers that callers
-//! do not get whole, and [`schedule`] tells when a request must have ended.
+//! do not get whole, [`origins`] finds out what began a stream that a caller takes up, from
+//! records ([`origin_store`]) and the list of software ([`served`]), and [`schedule`] tells when a request must have ended.
 
 mod admin;
 mod apply;
@@ -38,6 +39,8 @@
 mod metrics;
 mod node;
 mod notice;
+mod origin_store;
+mod origins;
 mod outage;
 mod permits;
 mod pick;
@@ -46,7 +49,9 @@
 mod schedule;
 mod sends;
 mod serve;
+mod served;
 mod settings;
+mod shared_read;
 mod store;
 mod summary;
 mod usage_report;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -6,6 +6,8 @@
 use lycheehaven_dispatch::LoadPart;
 use lycheehaven_duties::WindowCounts;
 use lycheehaven_guard::SpendingSum;
+use lycheehaven_origins::Group;
+use lycheehaven_origins::StreamKey;
 use lycheehaven_permits::Answer;
 use lycheehaven_permits::Ask;
 use lycheehaven_permits::Report;
@@ -18,7 +20,7 @@
 use crate::confirm::Confirmation;
 
 /// Version of the message format.
-const FORMAT_VERSION: u8 = 7;
+const FORMAT_VERSION: u8 = 8;
 
 /// What one datagram between entries holds.
 #[derive(Debug, Serialize, Deserialize)]
@@ -29,6 +31,10 @@
     Ask(Ask),
     /// Answers such an ask.
     Answer(Answer),
+    /// Asks an aggregator what began these streams.
+    FindOrigins(Vec<StreamKey>),
+    /// What began streams that the receiver has asked for.
+    Origins(Vec<Group>),
 }
 
 /// A periodic message of an entry. It also serves as heartbeat.
@@ -80,6 +86,8 @@
     pub(crate) rates: Vec<Report>,
     /// What is known of features of requests that crash upstreams.
     pub(crate) news: News,
+    /// What began the sender's latest streams, in its reports.
+    pub(crate) origins: Vec<Group>,
     /// Milliseconds since a holder of the lease was last known, 0 if the sender
     /// holds it.
     pub(crate) holder_age: Option<u64>,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -29,6 +29,7 @@
 use lycheehaven_guard::RetryBudget;
 use lycheehaven_guard::RetryBudgetConfig;
 use lycheehaven_net::OpenRequests;
+use lycheehaven_origins::Origins;
 use lycheehaven_permits::Permits;
 use lycheehaven_quarantine::Quarantine;
 use lycheehaven_types::Clock;
@@ -44,7 +45,9 @@
 use crate::metrics::Metrics;
 use crate::quarantine;
 use crate::schedule::PlannedStop;
+use crate::served::ServedSoftware;
 use crate::settings::Settings;
+use crate::shared_read::SharedRead;
 use crate::store::Store;
 
 /// Window over which the quota units that callers request are summed up.
@@ -86,6 +89,12 @@
     /// Quota units that callers requested in the last second, by workspace.
     pub(crate) requested_units: RefCell<FleetSums>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
+    /// What began the streams that callers may take up again.
+    pub(crate) origins: RefCell<Origins>,
+    /// What the store said last of the software that may have begun streams.
+    pub(crate) served: RefCell<ServedSoftware>,
+    /// Reads of what the store says of origins, shared by requests.
+    pub(crate) origin_reads: SharedRead,
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Wakes requests that wait for a change of the quarantine's decisions.
     pub(crate) decisions_changed: Notify,
@@ -173,6 +182,9 @@
             quotas: RefCell::new(quotas),
             requested_units: RefCell::new(FleetSums::new(REQUESTED_WINDOW)),
             retry_budget: RefCell::new(retry_budget),
+            origins: RefCell::default(),
+            served: RefCell::default(),
+            origin_reads: SharedRead::default(),
             quarantine: RefCell::new(Quarantine::new(quarantine::MAX_REPORTS)),
             decisions_changed: Notify::new(),
             usage: RefCell::new(usage),
@@ -246,6 +258,7 @@
         !self.stopping.get()
             && self.has_quota_state()
             && self.directory.borrow().is_loaded()
+            && self.served.borrow().is_ready(self.uptime())
             && self.is_current(self.now())
     }
 
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -47,6 +47,8 @@
     Ineligible(Ineligible),
     /// None runs the software that began the stream.
     SoftwareGone,
+    /// No ready upstream's software is listed yet as one that may begin streams.
+    SoftwareUnlisted,
     /// All are excluded after failures, or have as many connections as they may.
     Excluded,
     /// The request would begin this much later than its target latency permits.
@@ -62,6 +64,7 @@
                 "all upstreams of the service want no requests for a while"
             }
             Self::SoftwareGone => "no upstream runs the software that began the stream",
+            Self::SoftwareUnlisted => "the software of the service's upstreams is not listed yet",
             Self::Excluded => "all upstreams of the service are excluded after failures",
             Self::Overloaded(_) => "all upstreams of the service are overloaded",
         }
@@ -72,9 +75,10 @@
         let message = self.message();
         match self {
             Self::Ineligible(Ineligible::AllLimited(first)) => limited(node, service, first, now),
-            Self::Ineligible(Ineligible::NoneReady) | Self::SoftwareGone | Self::Excluded => {
-                no_upstream(message)
-            }
+            Self::Ineligible(Ineligible::NoneReady)
+            | Self::SoftwareGone
+            | Self::SoftwareUnlisted
+            | Self::Excluded => no_upstream(message),
             Self::Ineligible(Ineligible::AllPaused(pause)) => {
                 let wait = pause.return_delay(rand::random(), now);
                 Failure::new(ErrorKind::Overloaded, message).retry_after(wait)
@@ -112,10 +116,19 @@
     now: Instant,
 ) -> Result<Target, Unpicked> {
     let directory = node.directory.borrow();
-    let runs_software =
-        |upstream: &Upstream| software.is_none_or(|software| upstream.software == *software);
-    if software.is_some() && !directory.ready(&job.service).any(runs_software) {
-        return Err(Unpicked::SoftwareGone);
+    let served = node.served.borrow();
+    let runs_software = |upstream: &Upstream| match software {
+        Some(software) => upstream.software == *software,
+        None => !job.route.may_be_taken_up() || served.may_begin_at(upstream),
+    };
+    if !directory.ready(&job.service).any(runs_software) {
+        return Err(match software {
+            Some(_) => Unpicked::SoftwareGone,
+            None if directory.ready(&job.service).next().is_none() => {
+                Unpicked::Ineligible(Ineligible::NoneReady)
+            }
+            None => Unpicked::SoftwareUnlisted,
+        });
     }
     let pauses = node.pauses.borrow();
     let eligible = {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -50,6 +50,7 @@
 use crate::evacuate::StreamState;
 use crate::load_guard::LoadGuard;
 use crate::node::Node;
+use crate::origins;
 use crate::quarantine;
 use crate::quarantine::RunInfo;
 use crate::quarantine::TrialGuard;
@@ -127,6 +128,8 @@
     /// Why the run does not continue the stream, once it has shown that.
     discontinuity: Option<Discontinuity>,
     tries: Tries,
+    /// Whether there was an event of this answer.
+    has_begun: bool,
     /// The time without bytes of the run.
     silence: Silence,
     /// Tokens per event.
@@ -169,6 +172,7 @@
             tried: vec![run.key.clone()],
             ..Tries::default()
         },
+        has_begun: false,
         silence: Silence::new(STREAM_SILENCE, node.now()),
         run: Some(run),
         splitter: SseSplitter::default(),
@@ -292,10 +296,12 @@
             }
             self.pending.push_back(event.bytes);
         }
-        if self.pending.len() > queued {
+        if self.pending.len() > queued && !self.has_begun {
+            self.has_begun = true;
             let upstream = self.state.upstream.borrow();
             let software = || upstream.software.clone();
             self.job.software.get_or_init(software);
+            origins::record(&self.node, &self.job, &upstream);
         }
         self.state.set_resumable(self.continuity.is_resumable());
         let events = self.pending.len() - queued;
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -126,8 +126,9 @@
     let reason = unpicked.message().to_owned();
     match unpicked {
         Unpicked::SoftwareGone => Hindrance::Final(reason),
-        Unpicked::Ineligible(_) | Unpicked::Excluded | Unpicked::Overloaded(_) => {
-            Hindrance::Passing(reason)
-        }
+        Unpicked::Ineligible(_)
+        | Unpicked::SoftwareUnlisted
+        | Unpicked::Excluded
+        | Unpicked::Overloaded(_) => Hindrance::Passing(reason),
     }
 }
--- a/crates/gateway/src/schedule.rs
+++ b/crates/gateway/src/schedule.rs
@@ -23,7 +23,7 @@
 use crate::node::Node;
 
 /// Deadline of a request that does not specify one.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+pub(crate) const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
 /// Range of the time after which a request may return that was refused as this process
 /// stops. Other entries take it at once.
--- a/crates/gateway/src/summary.rs
+++ b/crates/gateway/src/summary.rs
@@ -36,11 +36,14 @@
     };
     let wall = node.clock.wall().duration_since(UNIX_EPOCH);
     Message {
-        status: status(
-            node,
-            wall.map_or(0, |time| time.as_millis() as i64),
-            interval,
-        ),
+        status: Status {
+            origins: node.origins.borrow_mut().news(now),
+            ..status(
+                node,
+                wall.map_or(0, |time| time.as_millis() as i64),
+                interval,
+            )
+        },
         scope: Scope::Entry,
         counts,
     }
@@ -122,6 +125,7 @@
         gone: directory.removed_news(interval, now),
         rates: node.permits.borrow().news(interval, now),
         news,
+        origins: Vec::new(),
         holder_age: node.holder_age(now).map(|age| age.as_millis() as u64),
         version: node.config.borrow().version().unwrap_or(0),
         store_age: node
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -95,6 +95,8 @@
     Overloaded "overloaded" 503 NotRun after(1);
     /// No upstream of the service can be reached.
     NoUpstream "no_upstream" 503 NotRun after(2);
+    /// It is not known which upstreams can go on with the stream that the request takes up.
+    OriginUnknown "origin_unknown" 503 NotRun after(1);
     /// Claims can't be made because the platform is unreachable.
     ClaimUnavailable "claim_unavailable" 503 NotRun after(2);
     /// Another entry holds the claim and can't be asked for the response.
