--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -72,6 +72,7 @@
     takes_over: Option<Duration>,
 ) -> Option<Target> {
     let query = Query {
+        software: None,
         service,
         domain: &node.settings.domain,
         tokens: 0,
--- a/crates/entry/src/evacuate.rs
+++ b/crates/entry/src/evacuate.rs
@@ -239,7 +239,12 @@
 async fn resume(node: Rc<Node>, vm: Name, record: Rc<Record>) {
     let is_at_source = |record: &Record| record.upstream().as_ref() == Some(&vm);
     let service = &record.request.service;
-    let has_target = || node.upstreams.borrow().has_usable(service, node.now());
+    let has_target = || {
+        let stream = record.stream.borrow();
+        let software = stream.software().map(|software| &**software);
+        let upstreams = node.upstreams.borrow();
+        upstreams.has_usable(service, software, node.now())
+    };
     while is_at_source(&record) && !has_target() {
         sleep_ms(TARGET_POLL_MS).await;
     }
@@ -269,12 +274,16 @@
 /// fails or begins to leave meanwhile is replaced by another. Without a target,
 /// the stream continues at its source, which the export had paused.
 async fn export(node: &Rc<Node>, vm: &Name, record: &Record, timeout: Duration) -> Option<Name> {
-    let source = node.upstreams.borrow().get(vm)?.addr;
+    let (source, software) = {
+        let upstreams = node.upstreams.borrow();
+        let upstream = upstreams.get(vm)?;
+        (upstream.addr, upstream.software.clone())
+    };
     let request = record.request.id.as_str().to_owned();
     let import = ImportRequest { source, request };
     let deadline = node.now() + timeout;
     for _ in 0..EXPORT_ATTEMPTS {
-        let Some(target) = choose_target(node, record) else {
+        let Some(target) = choose_target(node, record, &software) else {
             break;
         };
         let addr = node.upstreams.borrow().get(&target)?.addr;
@@ -296,11 +305,13 @@
     None
 }
 
-fn choose_target(node: &Node, record: &Record) -> Option<Name> {
+/// Chooses the target for a KV cache that `software` has written, which no other reads.
+fn choose_target(node: &Node, record: &Record, software: &str) -> Option<Name> {
     let request = &record.request;
     let blocks = prefix_blocks(&prompt_text(&request.body));
     let query = Query {
         service: &request.service,
+        software: Some(software),
         domain: &node.settings.domain,
         tokens: 0,
         blocks: &blocks,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -237,7 +237,8 @@
                 vm: vm.name.clone(),
                 incarnation: vm.incarnation,
             };
-            let mut upstream = Upstream::new(id, vm.domain.clone(), vm.service.clone(), vm.addr);
+            let mut upstream = Upstream::new(id, vm.domain.clone(), vm.service.clone(), vm.addr)
+                .with_software(vm.software.clone());
             upstream.leaving = leaving.contains(&vm.name, vm.incarnation);
             upstream
         }));
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -226,7 +226,10 @@
     match result {
         Ok(answer) => {
             *record.answer.borrow_mut() = Some(answer);
-            record.handle(Event::Begin(record.request.service.clone()));
+            record.handle(Event::Begin {
+                upstream: record.request.service.clone(),
+                software: Name::default(),
+            });
             let attempt = record.stream.borrow().attempt();
             record.handle(Event::Finish {
                 attempt,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -130,7 +130,10 @@
     prompt: &Prompt,
     target: &Target,
 ) -> Option<Target> {
-    record.handle(Event::Begin(target.vm.clone()));
+    record.handle(Event::Begin {
+        upstream: target.vm.clone(),
+        software: target.software.clone(),
+    });
     *record.moving_from.borrow_mut() = None;
     let attempt = record.stream.borrow().attempt();
     let start = record.token_count();
--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -48,6 +48,7 @@
     attempt: u32,
     phase: Phase,
     answer: Option<PlainResponse>,
+    software: Option<Name>,
     updated: Instant,
 }
 
@@ -190,6 +191,7 @@
         phase: stream.phase().clone(),
         answer: record.answer.borrow().clone(),
         adopt,
+        software: stream.software().cloned(),
     }
 }
 
@@ -250,6 +252,7 @@
                 attempt: 0,
                 phase: Phase::Waiting,
                 answer: None,
+                software: None,
                 updated: node.now(),
             });
         }
@@ -262,6 +265,7 @@
         replica.attempt = update.attempt;
         replica.phase = update.phase;
         replica.answer = update.answer;
+        replica.software = update.software.or_else(|| replica.software.take());
         replica.updated = node.now();
         replica.tokens.len()
     };
@@ -275,7 +279,12 @@
 /// none.
 pub(crate) fn adopt(node: &Rc<Node>, id: &RequestId) -> Option<Rc<Record>> {
     let replica = node.replicas.borrow_mut().remove(id)?;
-    let stream = Stream::resume(replica.tokens, replica.attempt, replica.phase);
+    let stream = Stream::resume(
+        replica.tokens,
+        replica.attempt,
+        replica.phase,
+        replica.software,
+    );
     let record = Rc::new(Record::new(replica.request, stream, node.clock.clone()));
     record.answer_ready.set(replica.answer.is_some());
     *record.answer.borrow_mut() = replica.answer;
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -31,6 +31,8 @@
     pub(crate) vm: Name,
     pub(crate) incarnation: Incarnation,
     pub(crate) addr: SocketAddr,
+    /// Version of the upstream's software.
+    pub(crate) software: Name,
     /// Whether the request is a suspect, which must not share the upstream with
     /// another suspect.
     pub(crate) suspect: bool,
@@ -62,7 +64,8 @@
     }
     let redirect = record.redirect.borrow_mut().take();
     let target = redirect.and_then(|redirect| redirect.target);
-    if let Some(target) = target.and_then(|vm| target_of(node, &vm, false)) {
+    let target = target.and_then(|vm| target_of(node, &vm, false));
+    if let Some(target) = target.filter(|target| fits(record, target)) {
         return Some(Target {
             moved: true,
             ..target
@@ -124,6 +127,15 @@
         return true;
     }
     let service = &record.request.service;
+    let began = record.stream.borrow().software().cloned();
+    if let Some(software) = began
+        && node.upstreams.borrow().lacks_software(service, &software)
+    {
+        let message =
+            format!("no upstream runs the software that generated the beginning: {software}");
+        record.fail(ErrorKind::UpstreamLost, message);
+        return true;
+    }
     if has_never_started(record) && !complete::can_end(node, service, Work::Completion) {
         let failure = shutdown::not_run();
         record.fail(failure.kind, failure.message);
@@ -156,6 +168,13 @@
     }
 }
 
+/// Returns whether the target runs the software that generated the beginning of the answer.
+fn fits(record: &Record, target: &Target) -> bool {
+    let stream = record.stream.borrow();
+    let began = stream.software();
+    began.is_none_or(|software| *software == target.software)
+}
+
 fn has_never_started(record: &Record) -> bool {
     let stream = record.stream.borrow();
     stream.attempt() == stream.failed_starts()
@@ -215,8 +234,10 @@
     limits: &Limits<'_>,
 ) -> Option<Name> {
     let request = &record.request;
+    let stream = record.stream.borrow();
     let query = Query {
         service: &request.service,
+        software: stream.software().map(|software| &**software),
         domain: &node.settings.domain,
         tokens: prompt.tokens + record.token_count() as u64,
         blocks: &prompt.blocks,
@@ -235,6 +256,7 @@
         vm: vm.clone(),
         incarnation: upstream.id.incarnation,
         addr: upstream.addr,
+        software: upstream.software.clone(),
         suspect,
         moved: false,
     })
--- a/crates/entry/src/wire.rs
+++ b/crates/entry/src/wire.rs
@@ -50,6 +50,9 @@
     pub(crate) answer: Option<PlainResponse>,
     /// Whether the receiver must take over the record.
     pub(crate) adopt: bool,
+    /// Software that generated the tokens, if it is known.
+    #[serde(default)]
+    pub(crate) software: Option<Name>,
 }
 
 /// Greatest numbers in a record, beyond all that entries send. What is added to them does
--- a/crates/platform/src/cloud.rs
+++ b/crates/platform/src/cloud.rs
@@ -42,6 +42,9 @@
     pub addr: SocketAddr,
     /// State of the VM.
     pub state: VmState,
+    /// Version of the service's software on the VM, empty if it is not stated.
+    #[serde(default)]
+    pub software: Name,
 }
 
 /// The VM list at one revision.
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -50,6 +50,9 @@
 pub struct Query<'a> {
     /// Service that must be served.
     pub service: &'a str,
+    /// Version of the software that has generated the beginning of the answer, and must
+    /// generate the rest; `None` for any.
+    pub software: Option<&'a str>,
     /// Failure domain of this entry, whose upstreams are preferred.
     pub domain: &'a str,
     /// Number of prompt tokens.
@@ -270,6 +273,7 @@
             && query
                 .takes_over
                 .is_none_or(|silence| upstream.has_room() && upstream.silence(now) < silence);
+        let is_eligible = is_eligible && upstream.runs(query.software);
         (upstream.is_usable(now) && is_eligible && !query.excluded.contains(name))
             .then_some(upstream)
     }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -100,6 +100,9 @@
     pub domain: Name,
     /// Service that the upstream runs.
     pub service: Name,
+    /// Version of the service's software, empty if it is not known. What two versions
+    /// generate for one answer does not fit together.
+    pub software: Name,
     /// Address of the upstream's listener.
     pub addr: SocketAddr,
     /// Latest known load.
@@ -141,6 +144,7 @@
             id,
             domain,
             service,
+            software: Name::default(),
             addr,
             load: None,
             leaving: false,
@@ -157,6 +161,16 @@
         }
     }
 
+    /// Sets the version of the service's software.
+    pub fn with_software(mut self, software: Name) -> Self {
+        self.software = software;
+        self
+    }
+
+    pub(crate) fn runs(&self, software: Option<&str>) -> bool {
+        software.is_none_or(|software| *self.software == *software)
+    }
+
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
         let is_in_backoff = self.retry_at.is_some_and(|time| now < time);
         !self.leaving && !is_in_backoff && !self.is_paused(now) && !self.awaits_permit(now)
@@ -199,6 +213,7 @@
             let upstream = match kept {
                 Some(known) => Upstream {
                     addr: new.addr,
+                    software: new.software,
                     leaving: known.leaving || new.leaving,
                     ..known
                 },
@@ -232,14 +247,27 @@
         self.upstreams.values()
     }
 
-    /// Returns whether any upstream of `service` can be chosen at `now`.
-    pub fn has_usable(&self, service: &str, now: Instant) -> bool {
+    /// Returns whether any upstream of `service` can be chosen at `now`, of those that run
+    /// `software` if it is given.
+    pub fn has_usable(&self, service: &str, software: Option<&str>, now: Instant) -> bool {
+        let mut upstreams = self.of_service(service);
+        upstreams.any(|upstream| upstream.is_usable(now) && upstream.runs(software))
+    }
+
+    /// Returns whether there are upstreams of `service` that stay, but none of them runs
+    /// `software`.
+    pub fn lacks_software(&self, service: &str, software: &str) -> bool {
+        let mut staying = self
+            .of_service(service)
+            .filter(|upstream| !upstream.leaving)
+            .peekable();
+        staying.peek().is_some() && !staying.any(|upstream| upstream.runs(Some(software)))
+    }
+
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
         let domains = self.by_service.get(service).into_iter();
-        let mut names = domains.flat_map(|domains| domains.values()).flatten();
-        names.any(|name| {
-            self.get(name)
-                .is_some_and(|upstream| upstream.is_usable(now))
-        })
+        let names = domains.flat_map(|domains| domains.values()).flatten();
+        names.filter_map(|name| self.get(name))
     }
 
     /// Marks an incarnation as leaving. The mark is permanent.
--- a/crates/routing/tests/odd_loads.rs
+++ b/crates/routing/tests/odd_loads.rs
@@ -84,6 +84,7 @@
             for takes_over in [None, Some(Duration::from_secs(1))] {
                 let query = Query {
                     service: "llm",
+                    software: None,
                     domain: "arima",
                     tokens: sent,
                     blocks: &[],
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -92,10 +92,12 @@
 
     /// Starts an engine of `service` and adds its VM to the VM list.
     pub fn add_engine(&mut self, name: &str, domain: &str, service: &str, params: EngineParams) {
+        let software = params.software.clone();
         let engine = Engine::start(ephemeral_addr(), params);
-        self.platform
-            .state()
-            .add_vm(name, domain, service, engine.addr());
+        let mut platform = self.platform.state();
+        platform.add_vm(name, domain, service, engine.addr());
+        platform.set_software(name, &software);
+        drop(platform);
         self.engines.push((name.into(), engine));
     }
 
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -12,6 +12,7 @@
 use lycheehaven_net::BodySender;
 use lycheehaven_types::HashMap;
 use lycheehaven_types::HashSet;
+use lycheehaven_types::Name;
 use lycheehaven_upstream::protocol::CacheEvent;
 use lycheehaven_upstream::protocol::CacheEvents;
 use lycheehaven_upstream::protocol::LoadReport;
@@ -50,6 +51,8 @@
     pub model: String,
     /// Version of the model loaded at startup.
     pub version: String,
+    /// Version of the engine's software, which its tokens show.
+    pub software: Name,
 }
 
 impl Default for EngineParams {
@@ -69,10 +72,14 @@
             load_time: Duration::from_millis(50),
             model: "base".into(),
             version: "1".into(),
+            software: SOFTWARE.into(),
         }
     }
 }
 
+/// Software of an engine for which none is set.
+const SOFTWARE: &str = "1";
+
 /// Where an engine stops sending when it falls silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilentAt {
@@ -111,6 +118,7 @@
     pub(crate) request: String,
     pub(crate) attempt: u32,
     pub(crate) prompt: String,
+    pub(crate) software: Name,
     pub(crate) offset: usize,
     pub(crate) length: usize,
     pub(crate) finish: &'static str,
@@ -418,7 +426,7 @@
     if !is_ready || generation.unsent.is_some() {
         return;
     }
-    let text = answer_token(&generation.prompt, generation.offset);
+    let text = software_token(&generation.prompt, generation.offset, &generation.software);
     let mut event = token_event(generation.offset, &text);
     let rest = event.split_off(event.len() / 2);
     if generation.output.try_send(Ok(event)).is_ok() {
@@ -442,7 +450,7 @@
         let _ = generation.output.try_send(Ok(finish_event(generation)));
         return false;
     }
-    let text = answer_token(&generation.prompt, generation.offset);
+    let text = software_token(&generation.prompt, generation.offset, &generation.software);
     match generation
         .output
         .try_send(Ok(token_event(generation.offset, &text)))
@@ -475,15 +483,29 @@
     format!("data: {chunk}\n\ndata: [DONE]\n\n").into()
 }
 
-/// Returns the token that every engine generates at `offset` for `prompt`.
+/// Returns the token that every engine without software set generates at `offset` for `prompt`.
 pub fn answer_token(prompt: &str, offset: usize) -> String {
     format!("t{offset}-{:04x} ", prompt_hash(prompt) & 0xffff)
 }
 
+/// Returns the token that an engine with this software generates.
+fn software_token(prompt: &str, offset: usize, software: &str) -> String {
+    let token = answer_token(prompt, offset);
+    match software {
+        SOFTWARE => token,
+        other => format!("{}-{other} ", token.trim_end()),
+    }
+}
+
 /// Returns the full answer of `length` tokens for `prompt`.
 pub fn full_answer(prompt: &str, length: usize) -> String {
+    software_answer(prompt, length, SOFTWARE)
+}
+
+/// Returns the full answer of engines with this software.
+pub fn software_answer(prompt: &str, length: usize, software: &str) -> String {
     (0..length)
-        .map(|offset| answer_token(prompt, offset))
+        .map(|offset| software_token(prompt, offset, software))
         .collect()
 }
 
--- a/crates/standins/src/engine_api.rs
+++ b/crates/standins/src/engine_api.rs
@@ -163,7 +163,9 @@
         let natural = natural_length(&prompt);
         let (sender, stream) = Body::channel(OUTPUT_BUFFER_EVENTS);
         let words = prompt.split_whitespace().count();
+        let software = self.lock().params.software.clone();
         let generation = Generation {
+            software,
             request: continuation.request,
             attempt: continuation.attempt,
             crash_at: crash_offset(&prompt),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -39,6 +39,7 @@
 pub use engine::SilentAt;
 pub use engine::answer_token;
 pub use engine::full_answer;
+pub use engine::software_answer;
 pub use engine_api::Engine;
 pub use entry_process::EntryProcess;
 pub use platform::CallCounts;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -144,12 +144,21 @@
             service: service.into(),
             addr,
             state: VmState::Live,
+            software: Name::default(),
         };
         self.vms.insert(vm.name.clone(), vm);
         self.vm_list_changed();
         incarnation
     }
 
+    /// Sets the version of the software that a VM runs.
+    pub fn set_software(&mut self, name: &str, software: &str) {
+        if let Some(vm) = self.vms.get_mut(name) {
+            vm.software = software.into();
+        }
+        self.vm_list_changed();
+    }
+
     /// Removes a VM from the list.
     pub fn remove_vm(&mut self, name: &str) {
         self.vms.remove(name);
--- a/crates/streams/src/stream.rs
+++ b/crates/streams/src/stream.rs
@@ -23,8 +23,13 @@
 /// Input of the state machine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
-    /// An attempt begins at this upstream.
-    Begin(Name),
+    /// An attempt begins.
+    Begin {
+        /// Upstream of the attempt.
+        upstream: Name,
+        /// Version of the upstream's software.
+        software: Name,
+    },
     /// An attempt produced a token.
     Token {
         /// Number of the attempt.
@@ -87,17 +92,21 @@
     attempt: u32,
     phase: Phase,
     failed_starts: u32,
+    /// Software of the attempt that generated the first token, or before it of the last
+    /// attempt.
+    software: Option<Name>,
 }
 
 impl Stream {
     /// Creates a stream without tokens that needs its first upstream.
     pub fn new() -> Self {
-        Self::resume(Tokens::default(), 0, Phase::Waiting)
+        Self::resume(Tokens::default(), 0, Phase::Waiting, None)
     }
 
     /// Creates a stream from the state that another entry replicated. A running
-    /// attempt is not taken over; the stream needs an upstream again.
-    pub fn resume(tokens: Tokens, attempt: u32, phase: Phase) -> Self {
+    /// attempt is not taken over; the stream needs an upstream again, with the same
+    /// `software` if there are tokens.
+    pub fn resume(tokens: Tokens, attempt: u32, phase: Phase, software: Option<Name>) -> Self {
         let phase = match phase {
             Phase::Running(_) => Phase::Waiting,
             other => other,
@@ -107,6 +116,7 @@
             attempt,
             phase,
             failed_starts: 0,
+            software,
         }
     }
 
@@ -120,6 +130,12 @@
         self.attempt
     }
 
+    /// Returns the software that generated the tokens so far and must generate the rest.
+    /// `None` without tokens, and if it is not known.
+    pub fn software(&self) -> Option<&Name> {
+        self.software.as_ref().filter(|_| self.tokens.len() > 0)
+    }
+
     /// Returns the state of the stream.
     pub fn phase(&self) -> &Phase {
         &self.phase
@@ -142,7 +158,10 @@
             return EventOutcome::Stale;
         }
         match event {
-            Event::Begin(upstream) => {
+            Event::Begin { upstream, software } => {
+                if self.tokens.len() == 0 {
+                    self.software = Some(software);
+                }
                 self.attempt += 1;
                 self.phase = Phase::Running(upstream);
                 EventOutcome::Applied
--- a/crates/streams/tests/streams.rs
+++ b/crates/streams/tests/streams.rs
@@ -12,6 +12,13 @@
 use lycheehaven_streams::Stream;
 use lycheehaven_streams::plan_evacuation;
 
+fn begin(upstream: &str, software: &str) -> Event {
+    Event::Begin {
+        upstream: upstream.into(),
+        software: software.into(),
+    }
+}
+
 fn token(attempt: u32, offset: usize) -> Event {
     Event::Token {
         attempt,
@@ -31,7 +38,7 @@
 #[test]
 fn answer_that_ends_after_tokens_that_are_missing_is_not_complete() {
     let mut stream = Stream::new();
-    stream.handle(Event::Begin("engine-1".into()));
+    stream.handle(begin("engine-1", "v1"));
     assert_eq!(stream.handle(token(1, 0)), EventOutcome::Applied);
     assert_eq!(stream.handle(finish(1, 2)), EventOutcome::Gap);
     assert!(!stream.is_over());
@@ -42,7 +49,7 @@
 #[test]
 fn stale_and_repeated_tokens_are_dropped_and_gaps_reported() {
     let mut stream = Stream::new();
-    stream.handle(Event::Begin("engine-1".into()));
+    stream.handle(begin("engine-1", "v1"));
     assert_eq!(stream.handle(token(1, 0)), EventOutcome::Applied);
     assert_eq!(stream.handle(token(1, 0)), EventOutcome::Stale);
     assert_eq!(stream.handle(token(1, 2)), EventOutcome::Gap);
@@ -50,7 +57,7 @@
         attempt: 1,
         cause: InterruptCause::ConnectionLost,
     });
-    stream.handle(Event::Begin("engine-2".into()));
+    stream.handle(begin("engine-2", "v1"));
     assert_eq!(stream.handle(token(1, 1)), EventOutcome::Stale);
     assert_eq!(stream.handle(token(2, 1)), EventOutcome::Applied);
     assert_eq!(stream.handle(finish(1, 2)), EventOutcome::Stale);
--- a/examples/capacity/machines.rs
+++ b/examples/capacity/machines.rs
@@ -101,6 +101,7 @@
             let blocks = [draw % 64, draw];
             let query = Query {
                 service: "model",
+                software: None,
                 domain: "domain-03",
                 tokens: 500,
                 blocks: &blocks,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -29,3 +29,4 @@
 mod tools;
 mod truncation;
 mod upstream_notice;
+mod versions;
