--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,7 +23,6 @@
 use lycheehaven_adapter::upstream::UpstreamCall;
 use lycheehaven_catalog::Route;
 use lycheehaven_catalog::Upstream;
-use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_channels::Connection;
 use lycheehaven_channels::SendError;
 use lycheehaven_dispatch::Load;
@@ -211,7 +210,7 @@
             Err(cause) => return Outcome::Unreachable(cause),
         };
         let permit = permits::acquire(node, upstream).await;
-        let may_send = may_still_send(node, job, &upstream.key, resume);
+        let may_send = may_still_send(node, job, upstream, resume);
         if permit.is_err() || !may_send {
             connect::put_back(node, &upstream.key, connection);
             let withdrawn = "the request must not be sent to it any more";
@@ -278,11 +277,19 @@
 /// Whether the upstream that was chosen may still get the request, after the time that
 /// it took to connect. A run that goes on from its KV cache may go on at a leaving
 /// upstream.
-fn may_still_send(node: &Node, job: &Job, key: &UpstreamKey, resume: &ResumePoint) -> bool {
+fn may_still_send(node: &Node, job: &Job, upstream: &Upstream, resume: &ResumePoint) -> bool {
+    let key = &upstream.key;
     let may_begin = job.schedule.may_go_on(resume.done, node.now());
     if !may_begin || quarantine::is_quarantined(node, &job.features) {
         return false;
     }
+    // It may have registered another software since.
+    let directory = node.directory.borrow();
+    let registered = directory.get(key);
+    if registered.is_some_and(|registered| registered.software != upstream.software) {
+        return false;
+    }
+    drop(directory);
     match resume.kv_source {
         Some(_) => !node.is_paused(key),
         None => node.may_send_to(key),
