--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -91,6 +91,8 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     /// What began the streams that callers may take up again.
     pub(crate) origins: RefCell<Origins>,
+    /// Wakes the loop that writes records of streams.
+    pub(crate) record_due: Notify,
     /// What the store said last of the software that may have begun streams.
     pub(crate) served: RefCell<ServedSoftware>,
     /// Reads of what the store says of origins, shared by requests.
@@ -183,6 +185,7 @@
             requested_units: RefCell::new(FleetSums::new(REQUESTED_WINDOW)),
             retry_budget: RefCell::new(retry_budget),
             origins: RefCell::default(),
+            record_due: Notify::new(),
             served: RefCell::default(),
             origin_reads: SharedRead::default(),
             quarantine: RefCell::new(Quarantine::new(quarantine::MAX_REPORTS)),
--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -9,8 +9,6 @@
 use lycheehaven_origins::Segment;
 use lycheehaven_origins::Segments;
 use lycheehaven_origins::Served;
-use lycheehaven_types::HashSet;
-use lycheehaven_types::Name;
 use serde::Deserialize;
 
 use crate::node::Node;
@@ -22,20 +20,25 @@
 /// Kind of the objects in the store that hold records.
 const ORIGINS: &str = "lycheehaven-origins";
 
-/// Interval between writes, in milliseconds. What began later than the last one is unknown
+/// Time from one write to the next, in milliseconds. What began since the last one is unknown
 /// after all entries have stopped.
-const WRITE_INTERVAL_MS: u64 = 250;
+const WRITE_INTERVAL_MS: u64 = 80;
+
+/// Time without new records after which it is checked whether something is to be written.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after which expired records are removed, in milliseconds, as clocks differ.
 const REMOVAL_DELAY_MS: i64 = 60_000;
 
-/// Writes the records of streams while several versions of a service's software are
-/// listed. In a fleet with aggregators, one of each failure domain writes for all.
+/// Writes the records of streams of which nothing else tells what began them. In a fleet with aggregators, one of each failure domain writes for all.
 pub(crate) async fn write_records(node: Rc<Node>) {
     let mut segments = Segments::default();
     let mut era = None;
     loop {
         sleep_ms(WRITE_INTERVAL_MS).await;
+        let due = node.record_due.notified();
+        // The list of software may have changed, or a write may have failed.
+        let _ = compio::time::timeout(RECHECK_INTERVAL, due).await;
         let latest = node.store.era().latest();
         if era.replace(latest).is_some_and(|known| known != latest) {
             segments = Segments::default();
@@ -78,13 +81,13 @@
     let Some(list) = served.last() else {
         return;
     };
-    let several: HashSet<&Name> = list.several().collect();
-    if several.is_empty() {
+    let recorded = list.recorded_services(&served::situation(node));
+    if recorded.is_empty() {
         return;
     }
     let now = node.now();
     let mut origins = node.origins.borrow_mut();
-    let groups = origins.take_due(|service| several.contains(service), now);
+    let groups = origins.take_due(|service| recorded.contains(&service), now);
     segments.add(groups, list.longest(), node.wall_millis(), now);
 }
 
@@ -143,8 +146,7 @@
         let is_needed = {
             let served = node.served.borrow();
             let situation = served::situation(node);
-            let is_clear =
-                |list: &Served| list.several().next().is_none() && list.is_sure(&situation);
+            let is_clear = |list: &Served| list.recorded_services(&situation).is_empty();
             !served.last().is_some_and(is_clear)
         };
         match node.role.get() {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -45,6 +45,9 @@
 /// Range of the time after which a request may return whose stream's record is missing.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 400..800;
 
+/// Longest part of a stream's identifier in a log line.
+const MAX_LOGGED_BYTES: usize = 64;
+
 /// Most streams that one datagram asks for.
 const MAX_ASKED: usize = 64;
 
@@ -60,6 +63,7 @@
     let origin = served::origin_of(upstream);
     let mut origins = node.origins.borrow_mut();
     origins.begin(key, &origin, deadline.saturating_sub(passed), now);
+    node.record_due.notify_one();
 }
 
 /// Applies the records in a message. An aggregator writes those of its own failure domain.
@@ -74,6 +78,9 @@
     let writes = node.role.get() == Role::Aggregator && is_own_domain;
     let expires = node.now() + served::longest(node);
     node.origins.borrow_mut().merge(groups, writes, expires);
+    if writes {
+        node.record_due.notify_one();
+    }
 }
 
 /// Applies records of the store, or those that this entry has asked an aggregator for.
@@ -132,6 +139,12 @@
             ))
         }
         Err(reason) => {
+            let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+            log::info!(
+                target: "lycheehaven",
+                resumes = short(id), records = node.origins.borrow().count(), reason = reason;
+                "it is not known what began the stream that a request takes up"
+            );
             node.metrics.record_take_up("unknown");
             Err(refusal(reason))
         }
@@ -220,6 +233,11 @@
     }
 }
 
+/// Returns the beginning of an identifier, which a caller has chosen.
+fn short(id: &str) -> &str {
+    &id[..id.len().min(MAX_LOGGED_BYTES)]
+}
+
 fn refusal(reason: &str) -> Failure {
     let wait = Duration::from_millis(rand::random_range(RETRY_AFTER_MS));
     Failure::new(ErrorKind::OriginUnknown, reason).retry_after(wait)
--- a/crates/gateway/src/served.rs
+++ b/crates/gateway/src/served.rs
@@ -166,7 +166,17 @@
         }
         let object = node.store.read(SERVED.0, SERVED.1).await?;
         let known = object.as_ref().and_then(decode);
-        let next = Served::update(known.as_ref(), &present, &ended, &situation(&node));
+        let situation = situation(&node);
+        let mut listed = present.clone();
+        if known
+            .as_ref()
+            .is_none_or(|known| known.era() != situation.era)
+        {
+            // The store lost what was added since the copy that it went back to.
+            let served = node.served.borrow();
+            listed.extend(served.last().into_iter().flat_map(Served::origins));
+        }
+        let next = Served::update(known.as_ref(), &listed, &ended, &situation);
         let Some(next) = next else {
             if let Some(known) = known {
                 node.served.borrow_mut().set(known, &present);
--- a/crates/origins/src/served.rs
+++ b/crates/origins/src/served.rs
@@ -120,19 +120,15 @@
         })
     }
 
-    /// Returns whether several versions of `service` may have begun streams.
-    pub fn has_several(&self, service: &str) -> bool {
-        self.services
-            .get(service)
-            .is_some_and(|list| list.len() > 1)
-    }
-
-    /// Returns the services of which several versions may have begun streams.
-    pub fn several(&self) -> impl Iterator<Item = &Name> {
+    /// Returns the services of whose streams only a record tells what began them: several
+    /// versions may have, or the list may lack some.
+    pub fn recorded_services(&self, situation: &Situation) -> Vec<&Name> {
+        let is_sure = self.is_sure(situation);
         let services = self.services.iter();
         services
-            .filter(|(_, versions)| versions.len() > 1)
+            .filter(|(_, versions)| versions.len() > 1 || !is_sure)
             .map(|(service, _)| service)
+            .collect()
     }
 
     /// Returns what must have begun a stream of one of `services` of which there is no
--- a/crates/origins/tests/model.rs
+++ b/crates/origins/tests/model.rs
@@ -187,6 +187,7 @@
     }
 
     fn write(&mut self, index: usize) {
+        let situation = self.situation(index);
         let entry = &mut self.entries[index];
         if entry.era != self.store.era {
             entry.era = self.store.era;
@@ -196,7 +197,7 @@
         let Some(served) = &self.store.content.served else {
             return;
         };
-        if self.store.is_away || served.several().next().is_none() {
+        if self.store.is_away || served.recorded_services(&situation).is_empty() {
             return;
         }
         let due = entry.origins.take_due(|_| true, self.now);
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -181,6 +181,7 @@
         let until = 1000 + list.longest().as_millis() as i64;
         let before = situation(era, until - 1);
         assert_eq!(list.only_origin(services().iter(), &before), None);
+        assert_eq!(list.recorded_services(&before).len(), 1);
         let after = situation(era, until);
         assert_eq!(
             list.only_origin(services().iter(), &after),
