--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -128,6 +128,9 @@
                     send_to(&socket, answer.encode(), sender).await;
                 }
                 Ok(Some(Datagram::Answer(answer))) => permits::handle_answer(&node, &answer),
+                Ok(Some(Datagram::Began(from, groups))) => {
+                    origins::apply_news(&node, &groups, &from);
+                }
                 Ok(Some(Datagram::FindOrigins(streams))) => {
                     origins::answer(&node, &socket, streams, sender);
                 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -31,6 +31,8 @@
     Ask(Ask),
     /// Answers such an ask.
     Answer(Answer),
+    /// What began streams of an entry, which the aggregators of its domain write to the store.
+    Began(Name, Vec<Group>),
     /// Asks an aggregator what began these streams.
     FindOrigins(Vec<StreamKey>),
     /// What began streams that the receiver has asked for.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,6 +43,7 @@
 use crate::era::EraTracker;
 use crate::evacuate::Streams;
 use crate::metrics::Metrics;
+use crate::origin_store::RecordsWritten;
 use crate::quarantine;
 use crate::schedule::PlannedStop;
 use crate::served::ServedSoftware;
@@ -93,6 +94,7 @@
     pub(crate) origins: RefCell<Origins>,
     /// Wakes the loop that writes records of streams.
     pub(crate) record_due: Notify,
+    pub(crate) records_written: RecordsWritten,
     /// What the store said last of the software that may have begun streams.
     pub(crate) served: RefCell<ServedSoftware>,
     /// Reads of what the store says of origins, shared by requests.
@@ -186,6 +188,7 @@
             retry_budget: RefCell::new(retry_budget),
             origins: RefCell::default(),
             record_due: Notify::new(),
+            records_written: RecordsWritten::default(),
             served: RefCell::default(),
             origin_reads: SharedRead::default(),
             quarantine: RefCell::new(Quarantine::new(quarantine::MAX_REPORTS)),
--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -1,7 +1,9 @@
 //! Records of streams in the store, for the time after all entries have stopped at once.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use lycheehaven_adapter::store::Object;
 use lycheehaven_fleet::Role;
@@ -10,6 +12,7 @@
 use lycheehaven_origins::Segments;
 use lycheehaven_origins::Served;
 use serde::Deserialize;
+use tokio::sync::Notify;
 
 use crate::node::Node;
 use crate::origins;
@@ -20,9 +23,9 @@
 /// Kind of the objects in the store that hold records.
 const ORIGINS: &str = "lycheehaven-origins";
 
-/// Time from one write to the next, in milliseconds. What began since the last one is unknown
-/// after all entries have stopped.
-const WRITE_INTERVAL_MS: u64 = 80;
+/// Time from one write to the next, in milliseconds: with twelve entries, 300 writes a
+/// second at most.
+const WRITE_INTERVAL_MS: u64 = 40;
 
 /// Time without new records after which it is checked whether something is to be written.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -47,20 +50,51 @@
         if !is_writer(&node) {
             continue;
         }
+        let taken = node.now();
         add_due(&node, &mut segments);
-        for (number, segment) in segments.due() {
-            match write(&node, number, &segment).await {
-                Ok(()) => segments.record_written(number, &segment),
-                Err(cause) => {
-                    let cause = cause.to_string();
-                    log::info!(target: "lycheehaven", cause = cause.as_str(); "can't write records of streams to the store; retrying");
-                    break;
-                }
+        match write_due(&node, &mut segments).await {
+            Ok(()) => node.records_written.record(taken),
+            Err(cause) => {
+                let cause = cause.to_string();
+                log::info!(target: "lycheehaven", cause = cause.as_str(); "can't write records of streams to the store; retrying");
             }
         }
     }
 }
 
+async fn write_due(node: &Node, segments: &mut Segments) -> Result<(), StoreError> {
+    for (number, segment) in segments.due() {
+        write(node, number, &segment).await?;
+        segments.record_written(number, &segment);
+    }
+    Ok(())
+}
+
+/// Up to when records of streams are in the store.
+#[derive(Debug, Default)]
+pub(crate) struct RecordsWritten {
+    until: Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+impl RecordsWritten {
+    fn record(&self, until: Instant) {
+        self.until.set(Some(until));
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until the records of all streams that began before `at` are in the store.
+    pub(crate) async fn reach(&self, at: Instant) {
+        loop {
+            let changed = self.changed.notified();
+            if self.until.get().is_some_and(|until| until >= at) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
 /// Whether this entry writes records: in a mesh each entry its own, else the first
 /// aggregator of a failure domain those of all its entries.
 fn is_writer(node: &Node) -> bool {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -51,8 +51,12 @@
 /// Most streams that one datagram asks for.
 const MAX_ASKED: usize = 64;
 
+/// Longest time for which the first event of a stream waits until its record is in the store.
+/// Aggregators write those of their domain within it.
+const WRITE_WAIT: Duration = Duration::from_millis(80);
+
 /// Records what began the stream of `job`, whose first event the caller is about to get.
-pub(crate) fn record(node: &Node, job: &Job, upstream: &Upstream) {
+pub(crate) fn record(node: &Rc<Node>, job: &Job, upstream: &Upstream) {
     let Some(id) = job.head.id.as_ref().filter(|_| job.route.may_be_taken_up()) else {
         return;
     };
@@ -61,9 +65,42 @@
     let deadline = job.head.deadline.unwrap_or(DEFAULT_DEADLINE) + RECORD_MARGIN;
     let passed = now.saturating_duration_since(job.received);
     let origin = served::origin_of(upstream);
-    let mut origins = node.origins.borrow_mut();
-    origins.begin(key, &origin, deadline.saturating_sub(passed), now);
+    let lifetime = deadline.saturating_sub(passed);
+    node.origins.borrow_mut().begin(key, &origin, lifetime, now);
     node.record_due.notify_one();
+    if node.role.get() == Role::Member && is_record_needed(node, &origin.service) {
+        let groups = node.origins.borrow().groups(&[key]);
+        let message = Datagram::Began(node.settings.name.clone(), groups);
+        spawn_detached(send_to_aggregators(node.clone(), message));
+    }
+}
+
+/// Whether only a record tells what began a stream of `service`.
+fn is_record_needed(node: &Node, service: &Name) -> bool {
+    let served = node.served.borrow();
+    let situation = served::situation(node);
+    served
+        .last()
+        .is_some_and(|list| list.recorded_services(&situation).contains(&service))
+}
+
+/// Waits until the record of a stream that has just begun is in the store, if it is needed.
+/// A caller that has seen an event may come back for the rest after all entries were killed.
+pub(crate) async fn await_record(node: &Node, service: &Name) {
+    if !is_record_needed(node, service) {
+        return;
+    }
+    let now = node.now();
+    let written = async {
+        match node.role.get() {
+            // The aggregators do not tell when they have written it.
+            Role::Member => std::future::pending().await,
+            Role::Mesh | Role::Aggregator => node.records_written.reach(now).await,
+        }
+    };
+    if compio::time::timeout(WRITE_WAIT, written).await.is_err() {
+        log::debug!(target: "lycheehaven", "passing on a stream whose record may not be in the store");
+    }
 }
 
 /// Applies the records in a message. An aggregator writes those of its own failure domain.
@@ -219,17 +256,21 @@
 
 /// Asks the aggregators of this entry's failure domain for a record, which a member of it
 /// does not read from the store.
-async fn ask_aggregators(node: &Node, key: Option<StreamKey>, elapsed: Duration) {
+async fn ask_aggregators(node: &Rc<Node>, key: Option<StreamKey>, elapsed: Duration) {
     let Some(key) = key.filter(|_| node.role.get() == Role::Member) else {
         return;
     };
+    log::debug!(target: "lycheehaven", after_ms = elapsed.as_millis() as u64; "asking the aggregators what began a stream");
+    send_to_aggregators(node.clone(), Datagram::FindOrigins(vec![key])).await;
+}
+
+async fn send_to_aggregators(node: Rc<Node>, message: Datagram) {
     let Some(socket) = node.peer_socket() else {
         return;
     };
-    log::debug!(target: "lycheehaven", after_ms = elapsed.as_millis() as u64; "asking the aggregators what began a stream");
-    for peer in exchange::aggregators(node, &node.settings.domain, 1) {
-        let bytes = Datagram::FindOrigins(vec![key]).encode();
-        exchange::send_to(socket, bytes, peer).await;
+    let mut bytes = message.encode();
+    for peer in exchange::aggregators(&node, &node.settings.domain, 1) {
+        bytes = exchange::send_to(socket, bytes, peer).await;
     }
 }
 
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lycheehaven_catalog::Directory;
 use lycheehaven_catalog::Upstream;
 use lycheehaven_catalog::UpstreamKey;
 use lycheehaven_dispatch::Ineligible;
@@ -121,15 +122,7 @@
         Some(software) => upstream.software == *software,
         None => !job.route.may_be_taken_up() || served.may_begin_at(upstream),
     };
-    if !directory.ready(&job.service).any(runs_software) {
-        return Err(match software {
-            Some(_) => Unpicked::SoftwareGone,
-            None if directory.ready(&job.service).next().is_none() => {
-                Unpicked::Ineligible(Ineligible::NoneReady)
-            }
-            None => Unpicked::SoftwareUnlisted,
-        });
-    }
+    check_software(&directory, job, software, runs_software)?;
     let pauses = node.pauses.borrow();
     let eligible = {
         let permits = node.permits.borrow();
@@ -192,6 +185,28 @@
     })
 }
 
+/// Checks that a ready upstream has software that may run the request.
+///
+/// # Errors
+/// Returns why none has.
+fn check_software(
+    directory: &Directory,
+    job: &Job,
+    software: Option<&Name>,
+    may_run: impl Fn(&Upstream) -> bool,
+) -> Result<(), Unpicked> {
+    let mut ready = directory.ready(&job.service).peekable();
+    let is_any_ready = ready.peek().is_some();
+    if ready.any(may_run) {
+        return Ok(());
+    }
+    Err(match software {
+        Some(_) => Unpicked::SoftwareGone,
+        None if is_any_ready => Unpicked::SoftwareUnlisted,
+        None => Unpicked::Ineligible(Ineligible::NoneReady),
+    })
+}
+
 /// Counts the engine time for the prompt tokens of a request that are not cached.
 fn count_demand(node: &Node, job: &Job, uncached_tokens: u64, now: Instant) {
     let work = node.cost_model.prefill_ms(uncached_tokens);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -184,6 +184,9 @@
         stream_id,
     };
     relay.fill().await?;
+    if relay.has_begun && job.route.may_be_taken_up() {
+        origins::await_record(node, &job.service).await;
+    }
     let stream = unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_or_panic().await {
--- a/crates/streams/src/stream.rs
+++ b/crates/streams/src/stream.rs
@@ -133,7 +133,7 @@
     /// Returns the software that generated the tokens so far and must generate the rest.
     /// `None` without tokens, and if it is not known.
     pub fn software(&self) -> Option<&Name> {
-        self.software.as_ref().filter(|_| self.tokens.len() > 0)
+        self.software.as_ref().filter(|_| !self.tokens.is_empty())
     }
 
     /// Returns the state of the stream.
@@ -159,7 +159,7 @@
         }
         match event {
             Event::Begin { upstream, software } => {
-                if self.tokens.len() == 0 {
+                if self.tokens.is_empty() {
                     self.software = Some(software);
                 }
                 self.attempt += 1;
