--- a/crates/gateway/src/served.rs
+++ b/crates/gateway/src/served.rs
@@ -56,6 +56,8 @@
     confirmed: HashSet<Origin>,
     /// Whether the software of all registered upstreams was confirmed once.
     is_settled: bool,
+    /// Whether the list was missing from the store when it was last read.
+    is_lost: bool,
 }
 
 impl ServedSoftware {
@@ -71,10 +73,17 @@
 
     /// Returns the list as this entry last saw it.
     pub(crate) fn last(&self) -> Option<&Served> {
-        self.last.as_ref()
+        self.last.as_ref().filter(|_| !self.is_lost)
+    }
+
+    /// Notes that the store has no list. It is written again with what was on it.
+    fn lose(&mut self) {
+        self.confirmed.clear();
+        self.is_lost = true;
     }
 
     fn set(&mut self, served: Served, present: &[Origin]) {
+        self.is_lost = false;
         let listed = present.iter().filter(|origin| served.lists(origin));
         self.confirmed = listed.cloned().collect();
         self.last = Some(served);
@@ -130,7 +139,7 @@
         };
         node.served.borrow_mut().set(served, &present);
     } else {
-        *node.served.borrow_mut() = ServedSoftware::default();
+        node.served.borrow_mut().lose();
     }
     Ok(())
 }
@@ -174,8 +183,13 @@
         {
             // The store lost what was added since the copy that it went back to.
             let served = node.served.borrow();
-            listed.extend(served.last().into_iter().flat_map(Served::origins));
+            listed.extend(served.last.iter().flat_map(Served::origins));
         }
+        let had_list = object.is_some() || node.served.borrow().last.is_some();
+        let situation = Situation {
+            first_start: situation.first_start && !had_list,
+            ..situation
+        };
         let next = Served::update(known.as_ref(), &listed, &ended, &situation);
         let Some(next) = next else {
             if let Some(known) = known {
@@ -282,10 +296,12 @@
     /// Returns whether the list lacks what this entry knows besides the software.
     fn is_outdated(&self) -> bool {
         let served = self.node.served.borrow();
-        served.last().is_some_and(|list| {
-            self.node.origins.borrow().longest() > list.longest_listable()
-                || list.era() != self.node.store.era().latest()
-        })
+        let Some(list) = &served.last else {
+            return false;
+        };
+        served.is_lost
+            || self.node.origins.borrow().longest() > list.longest_listable()
+            || list.era() != self.node.store.era().latest()
     }
 }
 
